Spread calls to discovery by lot and by the number of gatekeepers

Ruled out: a dead or silent discovery (it answers 503 in 3 ms, and 20 calls a second once fewer come); an unreadable list (no such line in the log). At fault: discovery.rs follow_one, a wait doubled to 1 s at most without a lot, whatever the number of gatekeepers, and a whole list fetched in front of each first watch although a known list was at hand.

Change: backoff.rs. Waits are drawn between half and one and a half times a mean that doubles up to 100 ms for each gatekeeper of the tier (1 s for up to ten), first calls lie 30 ms a gatekeeper apart by lot, and a watch builds on the known list where there is one, which also serves at once. A new address still begins with a list.

--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the whole list once, then a watch that is opened again whenever it ends or falls silent.
 
+use crate::backoff::Backoff;
 use crate::gateway::Shared;
 use frostvale::Health;
 use http_body_util::{BodyExt, Empty};
@@ -19,8 +20,6 @@
 const CALL: Duration = Duration::from_secs(1);
 /// An empty line comes every 2 s. After two that are missing the watch is dead, whatever TCP thinks.
 const QUIET: Duration = Duration::from_secs(5);
-const BACKOFF_LEAST: Duration = Duration::from_millis(100);
-const BACKOFF_MOST: Duration = Duration::from_secs(1);
 /// The longest line or list that is read: an endless one must not fill the memory.
 const LIST_MOST: usize = 4 << 20;
 
@@ -75,7 +74,16 @@
 
 /// Follows discovery for as long as the process lives. `rev` is the version of the list at hand. At a new
 /// address all begins anew: versions are its own, and what is on its way from the old one is dropped.
-pub async fn follow(gateway: Shared, mut at: watch::Receiver<SocketAddr>, mut rev: Option<u64>) {
+pub async fn follow(
+    gateway: Shared,
+    mut at: watch::Receiver<SocketAddr>,
+    mut rev: Option<u64>,
+    mut backoff: Backoff,
+) {
+    // Where there is a list to begin with, the others that start now may go first.
+    if rev.is_some() {
+        sleep(backoff.first()).await;
+    }
     loop {
         let address = *at.borrow_and_update();
         tokio::select! {
@@ -85,21 +93,21 @@
                     return;
                 }
             }
-            () = follow_one(&gateway, address, rev.take()) => {}
+            () = follow_one(&gateway, address, rev.take(), &mut backoff) => {}
         }
     }
 }
 
 /// Follows discovery at one address without end.
-async fn follow_one(gateway: &Shared, address: SocketAddr, mut rev: Option<u64>) {
-    let mut backoff = BACKOFF_LEAST;
-    let mut whole = false;
+async fn follow_one(gateway: &Shared, address: SocketAddr, mut rev: Option<u64>, backoff: &mut Backoff) {
     let mut complained = false;
+    backoff.reset();
     loop {
         let mut heard = false;
-        let ended = session(gateway, address, &mut rev, &mut whole, &mut heard).await;
+        let ended = session(gateway, address, &mut rev, &mut heard).await;
         if heard {
-            (backoff, complained) = (BACKOFF_LEAST, false);
+            backoff.reset();
+            complained = false;
         }
         if let Err(e) = ended
             && !complained
@@ -107,17 +115,15 @@
             complained = true;
             eprintln!("frostvale: discovery at {address}: {e}; trying again");
         }
-        sleep(backoff).await;
-        backoff = (backoff * 2).min(BACKOFF_MOST);
+        sleep(backoff.next()).await;
     }
 }
 
-/// One connection: the whole list if there has been none yet, then a watch until it ends.
+/// One connection: the whole list if there is none to build on, then a watch until it ends.
 async fn session(
     gateway: &Shared,
     address: SocketAddr,
     rev: &mut Option<u64>,
-    whole: &mut bool,
     heard: &mut bool,
 ) -> Result<(), String> {
     let stream = within(CALL, "connecting", TcpStream::connect(address)).await?;
@@ -129,7 +135,7 @@
         // How it ended shows in the call that waits on it.
         let _ = connection.await;
     });
-    listen(gateway, &mut call, address, rev, whole, heard).await
+    listen(gateway, &mut call, address, rev, heard).await
 }
 
 async fn listen(
@@ -137,7 +143,6 @@
     call: &mut SendRequest<Empty<Bytes>>,
     address: SocketAddr,
     rev: &mut Option<u64>,
-    whole: &mut bool,
     heard: &mut bool,
 ) -> Result<(), String> {
     let mut take = |text: &[u8], rev: &mut Option<u64>| {
@@ -148,7 +153,7 @@
         gateway.borrow_mut().listed(list);
         Ok::<(), String>(())
     };
-    if !*whole {
+    if rev.is_none() {
         let mut body = get(call, address, "/v1/servers").await?.into_body();
         let mut text = Vec::new();
         while let Some(frame) = timeout(CALL, body.frame()).await.map_err(|_| "the list is silent")? {
@@ -158,7 +163,6 @@
             }
         }
         take(&text, rev)?;
-        *whole = true;
         within(CALL, "the list", call.ready()).await?;
     }
     let path = format!("/v1/servers?stream=1&index={}", rev.unwrap_or(0));
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -1,6 +1,7 @@
 //! A gatekeeper on real sockets: clients in front, workers behind, the decisions in the library.
 //! Start, signals and shutdown.
 
+mod backoff;
 mod budget;
 mod clients;
 mod config;
@@ -10,6 +11,7 @@
 mod resp;
 mod workers;
 
+use backoff::Backoff;
 use clients::Clients;
 use config::Config;
 use gateway::Gateway;
@@ -25,6 +27,8 @@
 
 /// How long discovery may be silent at the start before the known list has to do.
 const FIRST_LIST: Duration = Duration::from_secs(1);
+/// Sets the lots drawn for discovery apart from those of the module.
+const DISCOVERY_LOTS: u64 = 0x9e37_79b9_7f4a_7c15;
 /// New connections go on coming for up to 0.4 s after SIGTERM.
 const FAREWELL: Duration = Duration::from_millis(500);
 /// The parts of the descriptors, in hundredths, that clients and workers may hold: the rest is for the
@@ -65,9 +69,11 @@
     let known = config.known.take();
     let (moved, discovery) = watch::channel(config.discovery);
     let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part());
+    let backoff = Backoff::new(config.settings.gateways, config.seed ^ DISCOVERY_LOTS);
     let places = config.sockets * WORKER_PART / 100;
     let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
-    let rev = known.as_ref().map(|list| list.rev);
+    // A list with nobody on it is none to build on.
+    let rev = known.as_ref().filter(|list| !list.targets.is_empty()).map(|list| list.rev);
     if let Some(list) = known {
         gateway.borrow_mut().listed(list);
     }
@@ -78,7 +84,7 @@
     }
     spawn_local(Gateway::keep_time(gateway.clone()));
     spawn_local(clients.clone().keep_time());
-    spawn_local(discovery::follow(gateway.clone(), discovery, rev));
+    spawn_local(discovery::follow(gateway.clone(), discovery, rev, backoff));
     spawn_local(async move {
         while hup.recv().await.is_some() {
             match Config::read_again() {
@@ -92,7 +98,9 @@
         }
     });
     // Nothing is accepted before there is somebody to send it to.
-    let _ = timeout(FIRST_LIST, news.notified()).await;
+    if rev.is_none() {
+        let _ = timeout(FIRST_LIST, news.notified()).await;
+    }
     eprintln!("frostvale: {name} serves at {listen}");
 
     tokio::select! {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -764,6 +764,22 @@
     assert_eq!(client.answer(), "known");
 }
 
+#[test]
+fn a_known_list_is_built_on_and_not_asked_for_again() {
+    let worker = Door::open();
+    // Were the whole list asked for, this one would leave no worker.
+    let discovery = Discovery::with(list(41, true, &[]));
+    let known = list(41, true, &[target("s-1", worker.at, "ready", 0)]);
+    let node = Setup { known, ..Setup::new(discovery.at) }.start();
+    let _watch = discovery.watch();
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("known");
+    assert_eq!(client.answer(), "known");
+}
+
 #[test]
 fn a_watch_that_falls_silent_or_speaks_nonsense_is_opened_again() {
     let (worker, discovery, node) = one_worker();
