Have each gatekeeper keep to an arc of the workers, drawn by size

Two kinds of worker, sizes 3.5 and 1.5, get the same number of draws. Checked: the failures to connect stop on quiet stretches when fewer connections are open, and they come on workers that are up and not draining; idle connections are not closed early (0 closed as idle in the report). At fault: control.rs choose, which draws each request's two candidates evenly from all 60 workers: each of 6000 pairs meets once in 12 s, so a connection is used twice and nothing is learned of a worker in between.

Change: servers stand in a ring in the order of their names, each as long as its size. A gateway looks first at an arc of it that begins at its number times the golden ratio (customers' sets are rows of numbers) and is long enough that about 20 gateways meet each server, but 10 servers at least; up to 20 gateways that is all of them. Within it candidates are drawn by lot in proportion to their part of the arc, so that the arcs together load each server by its size. The rest of the ring comes after, for when nobody there has room.

Two socket tests went by luck: one by the throttle's lot after a single failure, one by which of two connections outlived a change of the list. Both now wait for what they mean.

--- a/src/control.rs
+++ b/src/control.rs
@@ -61,6 +61,12 @@
 const ALIKE_PEERS: f64 = 3.0;
 /// A request looks at so many servers with room at the least, at more where each gateway knows more.
 const LOOK: f64 = 2.0;
+/// So many gateways send to a server by choice, and each to so many servers at the least. More would be met
+/// so seldom that nothing is learned of them, and for each one a connection has to be opened.
+const MET_BY: f64 = 20.0;
+const MEETS: f64 = 10.0;
+const SIZE_LEAST: f64 = 1e-3;
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// A load report is worth less and less over this time.
 const REPORT_MS: f64 = 1000.0;
 /// The same for a server that is thought to have room for nothing: it is seldom asked.
@@ -203,6 +209,7 @@
                 (s.pace, s.usual, s.reported, s.fail) = (None, 0.0, None, 0.0);
             }
             (s.zone, s.cell, s.health, s.since) = (line.zone, line.cell, line.health, line.since);
+            s.size = if line.size.is_finite() { line.size.max(SIZE_LEAST) } else { 1.0 };
         }
         self.servers.retain(|_, s| s.health != Health::Gone || !s.out.is_empty());
     }
@@ -639,23 +646,17 @@
             Some((Group::Cell, _, cell)) => s.cell == cell,
             _ => true,
         };
-        let mut drawn: Vec<&Name> = Vec::with_capacity(self.servers.len());
-        drawn.extend(
-            self.servers
-                .iter()
-                .filter(|(n, s)| s.health == Health::Up && grouped(s) && avoid != Some(n))
-                .map(|(n, _)| n),
-        );
+        let usable = |n: &Name, s: &Live| grouped(s) && avoid != Some(n);
+        let mut drawn = self.drawn();
+        drawn.retain(|n| usable(n, &self.servers[n]));
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
             .max(LOOK)
             .min(drawn.len() as f64);
         let aim = self.cfg.classes[class].aim;
         let mut best: Option<(f64, Name)> = None;
         let mut seen = 0.0;
-        for k in 0..drawn.len() {
-            let other = self.rng.random_range(k..drawn.len());
-            drawn.swap(k, other);
-            let s = &self.servers[drawn[k]];
+        for name in drawn {
+            let s = &self.servers[&name];
             let warmth = self.warmth(s);
             // Were it chosen each time, a cold server would get its part of a warm one's share.
             if warmth < 1.0 && self.rng.random::<f64>() >= COLD_PART * warmth / look {
@@ -673,7 +674,7 @@
             let cost = (time * cross + (fail - self.fleet.fail).max(0.0) * aim)
                 * (1.0 + 0.1 * self.rng.random::<f64>());
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, drawn[k].clone()));
+                best = Some((cost, name));
             }
             seen += 1.0;
             if seen >= look {
@@ -683,6 +684,30 @@
         best.map(|(_, name)| name)
     }
 
+    /// The servers in the order of a lot by size, those of this gateway's own part of the fleet before all
+    /// others. In a ring of all servers in the order of their names, each as long as its size, a gateway's
+    /// part is an arc: all arcs together cover every server by its size, and change little with the list.
+    fn drawn(&mut self) -> Vec<Name> {
+        let up = || self.servers.iter().filter(|(_, s)| s.health == Health::Up);
+        let (count, total) = up().fold((0.0, 0.0), |(n, sum), (_, s)| (n + 1.0, sum + s.size));
+        let arc = (MET_BY / f64::from(self.cfg.gateways)).max(MEETS / count).min(1.0);
+        // Multiples of the golden ratio spread any row of gateways evenly: a customer's set is such a row.
+        let start = (f64::from(self.cfg.me) * GOLDEN).fract();
+        let mut at = 0.0;
+        let mut lots: Vec<(bool, f64, &Name)> = up()
+            .map(|(name, s)| {
+                let (from, to) = (at / total, (at + s.size) / total);
+                at += s.size;
+                let part = |shift: f64| (to.min(start + arc - shift) - from.max(start - shift)).max(0.0);
+                let own = if arc < 1.0 { part(0.0) + part(1.0) } else { to - from };
+                let weight = if own > 0.0 { own } else { to - from };
+                (own <= 0.0, -(1.0 - self.rng.random::<f64>()).ln() / weight, name)
+            })
+            .collect();
+        lots.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        lots.into_iter().map(|(_, _, name)| name.clone()).collect()
+    }
+
     /// What this gateway has out at all servers on average over time: over longer the fewer it sees.
     fn mean_out(&self) -> f64 {
         let times = (f64::from(self.cfg.gateways) / 10.0).clamp(1.0, FLEET_TIMES);
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,6 +77,7 @@
 pub(crate) struct Live {
     pub zone: u32,
     pub cell: u32,
+    pub size: f64,
     pub health: Health,
     pub since: f64,
     pub out: BTreeMap<u64, f64>,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -549,6 +549,36 @@
     assert!(cold <= 30, "{cold} to the cold server in its first second");
 }
 
+#[test]
+fn a_hundred_gateways_meet_few_servers_each_and_load_all_of_them_by_size() {
+    let size = |k: u32| if k.is_multiple_of(2) { 3.5 } else { 1.5 };
+    let mut sent_to = std::collections::BTreeMap::<String, f64>::new();
+    let mut met = 0;
+    for me in 0..100u32 {
+        let mut g =
+            Control::new(Settings { gateways: 100, me, ..settings() }, u64::from(me) + 1).expect("sound");
+        let lines = (0..60).map(|k| Server { size: size(k), ..line(&format!("s{k:02}"), 0) });
+        g.handle(0.0, Event::Servers { listing: Listing::Complete, servers: lines.collect() });
+        let mut own = std::collections::BTreeSet::new();
+        for k in 0..100u64 {
+            let now = 200.0 * k as f64;
+            let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!() };
+            let alone = Event::Request(Request { first: me, spread: 1, ..r });
+            let server = sent(&g.handle(now, alone)).expect("sent");
+            g.handle(now + 50.0, end(k, &server, Ending::Ok, 50.0));
+            *sent_to.entry(server.clone()).or_default() += 1.0;
+            own.insert(server);
+        }
+        met += own.len();
+    }
+    assert!(met <= 100 * 18, "{met} pairs of a gateway and a server: each pair is a connection");
+    for k in 0..60u32 {
+        let even = 10_000.0 * size(k) / 150.0;
+        let part = sent_to.get(&format!("s{k:02}")).copied().unwrap_or(0.0) / even;
+        assert!((0.6..1.5).contains(&part), "server {k} of size {} gets {part} of its part", size(k));
+    }
+}
+
 #[test]
 fn one_request_of_ours_is_not_a_queue_of_hundreds() {
     let mut g = gateway(Settings { gateways: 300, ..settings() });
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -33,6 +33,16 @@
         Line::of(self.came.recv_timeout(LONG).expect("a connection"))
     }
 
+    /// The next connection on which something is said: one made while the list changed may be dropped unused.
+    fn asked(&self) -> Line {
+        loop {
+            let mut line = self.next();
+            if line.read.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+                return line;
+            }
+        }
+    }
+
     /// A connection that comes within this time, unless the open one is used before.
     fn within(&self, open: &mut Line, most: Duration) -> Option<Line> {
         let begun = Instant::now();
@@ -415,9 +425,15 @@
 fn a_late_answer_never_meets_the_next_request() {
     let (worker, _discovery, node) = one_worker();
     let mut client = node.client();
-    client.say(ask(300));
+    // One accept keeps the throttle open whatever its lots are: what follows is one failure.
+    client.say(ask_as("0000000000000001", 5000));
     let mut late = worker.next();
     late.command();
+    late.serve("first");
+    assert_eq!(client.answer(), "first");
+    thread::sleep(RESTED);
+    client.say(ask(300));
+    late.command();
     assert!(client.answer().starts_with("-BUSY"), "a read is harmless to try again");
     assert!(late.ended(), "giving up closes the connection");
     client.say(ask(5000));
@@ -794,7 +810,7 @@
     push(&mut third, &list(2, false, &[odd, old, new]));
     let mut client = node.client();
     client.say(ask(5000));
-    let mut line = worker.next();
+    let mut line = worker.asked();
     line.command();
     line.serve("still here");
     assert_eq!(client.answer(), "still here");
