Keep a place taken while its request is out: renew leases, learn answer times at once

At fault: control.rs refill ends a lease after six mean answer times, and a slow worker's answer takes longer; on_outcome learns that mean from nothing by 4% an answer, so a keeper of a hundred, with few answers a second, takes one for a few ms long and drops places that were just taken.

The mean starts at a quarter of the shortest aim and its first answers count alike. Word of places is bounded.

--- a/src/control.rs
+++ b/src/control.rs
@@ -44,8 +44,15 @@
 const STOCK_MS: f64 = 400.0;
 /// Units told after the fact may wait this long for a note that goes anyway.
 const TELL_MS: f64 = 1000.0;
-/// A place not given back within so many usual answer times and a little is taken for lost.
+/// A place of which nothing is heard for so many usual answer times and a little is taken for lost. Who
+/// has one out says so this often meanwhile: slow answers are the ones that pass a cap unseen.
 const LEASE: f64 = 6.0;
+const RENEWALS: f64 = 3.0;
+/// Word of places in use is believed up to so many times the cap.
+const OUT_MOST: usize = 4;
+/// Before there are answers one is taken to need this part of the shortest aim, and that counts as so many.
+const TOOK_PART: f64 = 0.25;
+const TOOK_PRIOR: f64 = 4.0;
 /// The part of the peers' intake that notes may fill, a tenth of a second's at one stroke.
 const INTAKE_PART: f64 = 0.75;
 const NOTE_BYTES: usize = 256;
@@ -155,7 +162,11 @@
             waits: BTreeMap::new(),
             asks: 0,
             post: Post::default(),
-            fleet: Fleet { class_pace: vec![0.0; cfg.classes.len()], ..Fleet::default() },
+            fleet: Fleet {
+                class_pace: vec![0.0; cfg.classes.len()],
+                took: TOOK_PART * cfg.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min),
+                ..Fleet::default()
+            },
             tier_of,
             counts: vec![vec![(0.0, 0.0); tiers]; SLOTS],
             slot: 0,
@@ -338,7 +349,7 @@
     /// A wait has come to its end. With a silent keeper the request goes on by what is known here.
     fn on_waited(&mut self, number: u64) {
         if self.waits.get(&number).is_none_or(|w| self.now + 0.1 < w.until) {
-            return;
+            return self.renew(number);
         }
         let Some(w) = self.waits.remove(&number) else { return };
         let open = f64::from(self.cfg.plans[w.request.plan].open) / f64::from(w.request.spread.max(1));
@@ -393,11 +404,52 @@
             c.ceiling -= units;
             c.open += 1;
         }
-        let held = Held { job, attempts: 0, ended: false, sent_at: self.now, load: 0.0, may_run: None };
+        if self.cfg.plans[plan].open > 0 && job.place == Some(job.number) {
+            self.renew_later(job.number);
+        }
+        let (sent_at, renew_at) = (self.now, 0.0);
+        let held = Held { job, attempts: 0, ended: false, sent_at, load: 0.0, may_run: None, renew_at };
         self.held.insert(id, held);
         self.send(id, server);
     }
 
+    /// How long a place is taken, and is out before its keeper hears of it again, without a word.
+    fn lease(&self) -> f64 {
+        LEASE * (self.fleet.took + 20.0)
+    }
+
+    fn renew_later(&mut self, place: u64) {
+        self.actions.push(Action::SetTimer { token: TICK + place, after: self.lease() / RENEWALS });
+    }
+
+    /// Tells the keeper that this place is still in use, if it is.
+    fn renew(&mut self, place: u64) {
+        let (now, period) = (self.now, self.lease() / RENEWALS);
+        let out = self.held.values_mut().find(|h| h.job.place == Some(place) && now + 0.1 >= h.renew_at);
+        let Some(h) = out else { return };
+        let (key, keeper, plan) = (h.job.key, h.job.keeper, h.job.request.plan);
+        if self.cfg.plans[plan].open == 0 || self.customers.get(&key).is_some_and(|c| c.slots < u32::MAX) {
+            return;
+        }
+        h.renew_at = now + period;
+        self.renew_later(place);
+        if keeper == self.cfg.me {
+            self.kept(key, (keeper, place));
+        } else {
+            self.note(keeper, key, 0.0, Item::Keep { plan, place });
+        }
+    }
+
+    /// A place is still in use.
+    fn kept(&mut self, key: u64, place: (u32, u64)) {
+        let now = self.now;
+        let Some(c) = self.customers.get_mut(&key) else { return };
+        c.out.retain(|(id, _)| *id != place);
+        if c.out.len() < OUT_MOST * self.cfg.plans[c.plan].open as usize {
+            c.out.push_back((place, now));
+        }
+    }
+
     /// How many keepers a customer's units are parted between, each for its part of the gateways.
     fn keepers(&self, plan: usize) -> u32 {
         let plan = &self.cfg.plans[plan];
@@ -409,7 +461,7 @@
     /// Brings a kept store up to now.
     fn refill(&mut self, key: u64) {
         let Some(plan) = self.customers.get(&key).map(|c| c.plan) else { return };
-        let parts = f64::from(self.keepers(plan));
+        let (parts, lease) = (f64::from(self.keepers(plan)), self.lease());
         let Some(c) = self.customers.get_mut(&key) else { return };
         let plan = &self.cfg.plans[c.plan];
         let ms = self.now - c.at;
@@ -417,7 +469,7 @@
         c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
         c.demand *= (-ms / DEMAND_MS).exp();
         c.granted *= (-ms / DEMAND_MS).exp();
-        while c.out.front().is_some_and(|(_, at)| self.now - at > LEASE * (self.fleet.took + 20.0)) {
+        while c.out.front().is_some_and(|(_, at)| self.now - at > lease) {
             c.out.pop_front();
         }
         let now = self.now;
@@ -513,6 +565,7 @@
                 let out = self.held.values_mut().find(|h| h.job.number == number && h.job.place.is_none());
                 if let Some(h) = out {
                     h.job.place = Some(number);
+                    self.renew_later(number);
                 } else {
                     self.spare(key, keeper, units, Some(number));
                 }
@@ -774,8 +827,9 @@
             self.fleet.fail += LEARN_ALL * (fail - self.fleet.fail);
             if matches!(o.ending, Ending::Ok | Ending::Timeout) {
                 let pace = o.latency.max(0.1) / slowdown(load);
-                self.fleet.took += LEARN * (o.latency - self.fleet.took);
                 self.fleet.answers += 1.0;
+                let learn = LEARN.max(1.0 / (self.fleet.answers + TOOK_PRIOR));
+                self.fleet.took += learn * (o.latency - self.fleet.took);
                 let learn_all = LEARN_ALL.max(1.0 / self.fleet.answers);
                 let fleet = self.fleet.pace.unwrap_or(pace);
                 let c = &mut self.fleet.class_pace[class];
@@ -920,6 +974,11 @@
                 Item::Tell { plan, units, place } if plan < self.cfg.plans.len() => {
                     self.told(key, plan, units, place.map(|k| (from, k)));
                 }
+                Item::Keep { plan, place } if plan < self.cfg.plans.len() => {
+                    self.customer(key, plan);
+                    self.refill(key);
+                    self.kept(key, (from, place));
+                }
                 Item::Answer { number, word, units, demand, granted, level } => {
                     if let Some(c) = self.customers.get_mut(&key) {
                         c.told = Some((self.now, demand, granted, level));
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,6 +113,8 @@
     pub ended: bool,
     pub sent_at: f64,
     pub load: f64,
+    /// From when on its keeper is to hear again that its place is in use.
+    pub renew_at: f64,
     /// The zone and cell of the first attempt that may have run, and when it was sent.
     pub may_run: Option<(u32, u32, f64)>,
 }
