Let a gateway's own load stand for three peers at most when it judges the fleet

Log lines at each count of the throttle: of 13200 outcomes 231 are failures of workers and 2217 are refusals of our own; where the chance is above nothing the highest tier has seen 37 requests and 0.2 accepts. 12 of 100 gatekeepers make most of these refusals, the busiest alone a fifth. Checked: the throttle does not begin it. In the busiest gatekeeper's log 22 accepts in a row are followed by refusals for want of room, and only then does the throttle close, and stays so: what it refuses it counts, and clients' repeats are not marked. At fault: control.rs load, which takes the peers together to have 99 times out what this gateway has. Traffic is uneven: one with six requests out took each of 60 workers to hold ten, and had room at none.

Change: what this gateway has out stands for three peers at most, for the mean as it did for each server's part; beyond that the load of the others shows in the answer times, which are learned. With four gateways or fewer nothing changes. The longer mean for many gateways is not needed any more.

--- a/src/control.rs
+++ b/src/control.rs
@@ -86,8 +86,6 @@
 const LEARN_ALL: f64 = 0.02;
 /// How much one report moves what is known of the load at all servers.
 const LEARN_REPORT: f64 = 0.1;
-/// The mean in flight over all servers is taken over this many times as long where gateways are many.
-const FLEET_TIMES: f64 = 5.0;
 /// A server's failures are forgotten over this time, so that it is tried again.
 const FAIL_MS: f64 = 4000.0;
 /// Requests in flight at a server beside one's own that make its answer take twice as long.
@@ -662,13 +660,14 @@
 
     /// What is thought to be in flight at a server, from all gateways.
     fn load(&self, s: &Live) -> f64 {
-        let peers = f64::from(self.cfg.gateways - 1);
+        // No more of them: a busy gateway of a hundred would take all workers for full and refuse for good.
+        let peers = f64::from(self.cfg.gateways - 1).min(ALIKE_PEERS);
         let mean = self.mean_out() / self.servers.len().max(1) as f64;
         // The peers together: as this gateway on average, or as fresh reports from any server say.
         let fleet = self.mixed(self.fleet.reported, mean * peers);
         // Peers see much the same rush: the mean alone lags behind a queue that all build at once.
         let usual = s.usual_now(self.now).max(ALIKE * s.out.len() as f64);
-        let usual = (fleet + (usual - mean) * peers.min(ALIKE_PEERS)).max(0.0);
+        let usual = (fleet + (usual - mean) * peers).max(0.0);
         s.out.len() as f64 + self.mixed(s.reported, usual)
     }
 
@@ -775,10 +774,9 @@
         lots.into_iter().map(|(_, _, name)| name.clone()).collect()
     }
 
-    /// What this gateway has out at all servers on average over time: over longer the fewer it sees.
+    /// What this gateway has out at all servers on average over time.
     fn mean_out(&self) -> f64 {
-        let times = (f64::from(self.cfg.gateways) / 10.0).clamp(1.0, FLEET_TIMES);
-        let kept = (-(self.now - self.fleet.usual_at) / (times * DEMAND_MS)).exp();
+        let kept = (-(self.now - self.fleet.usual_at) / DEMAND_MS).exp();
         self.fleet.usual * kept + self.fleet.in_flight as f64 * (1.0 - kept)
     }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -668,6 +668,27 @@
     }
 }
 
+#[test]
+fn a_busy_gateway_of_a_hundred_does_not_take_the_whole_fleet_for_busy() {
+    let mut g = Control::new(Settings { gateways: 100, ..settings() }, 3).expect("sound settings");
+    let servers = (0..60).map(|k| line(&format!("s{k:02}"), 0)).collect();
+    g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+    // Forty a second while each answer takes 150 ms: six are out on average, at ten servers or more.
+    let mut out = std::collections::VecDeque::new();
+    for k in 0..400u64 {
+        let now = 25.0 * k as f64;
+        while out.front().is_some_and(|(at, _, _)| *at <= now)
+            && let Some((at, id, server)) = out.pop_front()
+        {
+            let server: String = server;
+            g.handle(at, end(id, &server, Ending::Ok, 150.0));
+        }
+        let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!() };
+        let server = sent(&g.handle(now, Event::Request(Request { spread: 1, ..r })));
+        out.push_back((now + 150.0, k, server.unwrap_or_else(|| panic!("request {k} has room"))));
+    }
+}
+
 #[test]
 fn an_attempt_ends_with_its_aim_where_later_earns_nothing() {
     let last = |late_worth| {
