Let an answer count for more the longer its server's last one is ago

Checked: it is not the lot, which looks at two candidates of twelve: the better one is taken by what is known of both, and that is wrong. At 5 requests a second over twelve workers one has an answer every few seconds.

Change: the step grows from 4% towards 30% with the square of the time since the server's last answer (3 s); a first answer weighs more only as gateways are many, since what its kind does is well known to one of few.

--- a/src/control.rs
+++ b/src/control.rs
@@ -82,6 +82,9 @@
 const REPORT_MS: f64 = 1000.0;
 /// The same for a server that is thought to have room for nothing: it is seldom asked.
 const LEARN_SLOW: f64 = 0.3;
+/// It counts for more, up to that, the longer the last one is ago: one gateway of a hundred has an answer from
+/// a server every few seconds, and must not need a minute of them to see that it is slow.
+const SELDOM_MS: f64 = 3000.0;
 /// The same for what is known of all servers; the first answers count alike.
 const LEARN_ALL: f64 = 0.02;
 /// How much one report moves what is known of the load at all servers.
@@ -460,10 +463,14 @@
         if plan.open > 0 { 1 } else { (many.ceil() as u32).clamp(1, 1 + self.cfg.gateways / FEW) }
     }
 
+    /// How near the gateways are to being many, up to 1: with one of many each knows little of its own.
+    fn many(&self) -> f64 {
+        (f64::from(self.cfg.gateways - 1) / f64::from(FEW)).min(1.0)
+    }
+
     /// What a kept store must hold beside a request's units, unless it is full.
     fn margin(&self, plan: usize) -> f64 {
-        let many = (f64::from(self.cfg.gateways - 1) / f64::from(FEW)).min(1.0);
-        MARGIN * many * self.cfg.largest * self.cfg.plans[plan].over_cost.min(1.0)
+        MARGIN * self.many() * self.cfg.largest * self.cfg.plans[plan].over_cost.min(1.0)
     }
 
     /// Brings a kept store up to now.
@@ -774,6 +781,12 @@
         lots.into_iter().map(|(_, _, name)| name.clone()).collect()
     }
 
+    /// How much an answer moves what is known of its server, by when the last one came, if there was one.
+    fn learned(&self, last: f64) -> f64 {
+        let seldom = 1.0 - (-((self.now - last) / SELDOM_MS).powi(2)).exp();
+        LEARN.max(LEARN_SLOW * if last > 0.0 { seldom } else { self.many() })
+    }
+
     /// What this gateway has out at all servers on average over time.
     fn mean_out(&self) -> f64 {
         let kept = (-(self.now - self.fleet.usual_at) / DEMAND_MS).exp();
@@ -813,6 +826,8 @@
         (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
         let guess = self.servers.get(&o.server).map_or(0.0, |s| self.pace(s));
         let warmth = self.servers.get(&o.server).map_or(1.0, |s| self.warmth(s));
+        let learned = |s: &Live| (self.learned(s.fail_at), self.learned(s.paced_at));
+        let (learn, learn_pace) = self.servers.get(&o.server).map_or((LEARN, LEARN), learned);
         let Some(h) = self.held.get_mut(&o.id) else { return };
         let (key, keeper, class, load) = (h.job.key, h.job.keeper, h.job.request.class, h.load);
         let (plan, units) = (h.job.request.plan, h.job.request.units);
@@ -834,7 +849,7 @@
             }
             let failed = !matches!(o.ending, Ending::Ok | Ending::Cancelled | Ending::Moot);
             let fail = f64::from(u8::from(failed));
-            s.fail = s.fail * (-(self.now - s.fail_at) / FAIL_MS).exp() * (1.0 - LEARN) + LEARN * 2.0 * fail;
+            s.fail = s.fail * (-(self.now - s.fail_at) / FAIL_MS).exp() * (1.0 - learn) + learn * 2.0 * fail;
             s.fail_at = self.now;
             self.fleet.fail += LEARN_ALL * (fail - self.fleet.fail);
             if matches!(o.ending, Ending::Ok | Ending::Timeout) {
@@ -849,7 +864,7 @@
                 *c = if *c > 0.0 { toward(*c, pace, learn_all) } else { pace };
                 let own = if guess > 0.0 { guess } else { pace };
                 let slow = own * weight > self.room * self.cfg.classes[class].aim;
-                s.pace = Some(toward(own, pace / weight, if slow { LEARN_SLOW } else { LEARN }));
+                s.pace = Some(toward(own, pace / weight, if slow { LEARN_SLOW } else { learn_pace }));
                 s.paced_at = self.now;
                 if warmth >= 1.0 {
                     let kind = self.fleet.kind_pace.entry(s.kind).or_insert(fleet);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -689,6 +689,27 @@
     }
 }
 
+#[test]
+fn one_gateway_of_a_hundred_leaves_a_slow_server_after_a_few_answers() {
+    let slow_part = |seed: u64| {
+        let mut g = Control::new(Settings { gateways: 100, ..settings() }, seed).expect("sound settings");
+        let servers = (0..12).map(|k| line(&format!("s{k:02}"), 0)).collect();
+        g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+        // Two a second: each server has an answer every six seconds, and s05 takes ten times as long.
+        let slow = (0..70u64).filter(|k| {
+            let now = 10_000.0 + 500.0 * *k as f64;
+            let Event::Request(r) = ask(*k, 0, 0, now) else { unreachable!() };
+            let server = sent(&g.handle(now, Event::Request(Request { spread: 1, ..r }))).expect("room");
+            let took = if server == "s05" { 400.0 } else { 40.0 };
+            g.handle(now + took, end(*k, &server, Ending::Ok, took));
+            server == "s05" && *k >= 20
+        });
+        slow.count()
+    };
+    let slow: usize = (1..=20).map(slow_part).sum();
+    assert!(slow <= 15, "{slow} of 1000 to the slow one of twelve once each has been met a few times");
+}
+
 #[test]
 fn an_attempt_ends_with_its_aim_where_later_earns_nothing() {
     let last = |late_worth| {
