--- a/src/control.rs
+++ b/src/control.rs
@@ -82,8 +82,8 @@
 const REPORT_MS: f64 = 1000.0;
 /// The same for a server that is thought to have room for nothing: it is seldom asked.
 const LEARN_SLOW: f64 = 0.3;
-/// It counts for more, up to that, the longer the last one is ago: one gateway of a hundred has an answer from
-/// a server every few seconds, and must not need a minute of them to see that it is slow.
+/// It counts for more, up to that, the longer the last one is ago: one gateway of a hundred has an answer
+/// from a server every few seconds, and must not need a minute of them to see that it is slow.
 const SELDOM_MS: f64 = 3000.0;
 /// The same for what is known of all servers; the first answers count alike.
 const LEARN_ALL: f64 = 0.02;
