Let a customer's keeper grant most of its ceiling in place of even slices

At fault: control.rs on_request and admit, which hold a ceiling by even slices alone: of 35 units a second each of five gateways may send on 7, and a customer of 18 a second has more than that at its busiest one.

Change: three quarters of a ceiling's rate are granted by the keeper, from a store that starts empty, holds half of the ceiling's burst and gets nothing back when units are settled; the last quarter stays in even slices, which start empty too, for what goes on with a silent keeper. Where no notes may be sent the slices are whole.

--- a/src/control.rs
+++ b/src/control.rs
@@ -48,6 +48,10 @@
 /// quota costs and as gateways are many: what they have out is not settled yet, and a customer that asks for
 /// more than its quota takes the store to its end each time. With three it costs more than it saves.
 const MARGIN: f64 = 0.3;
+/// The part of a ceiling that gateways may send on unasked, in even slices; the rest its keeper grants. Of
+/// the burst it grants less, as what was granted may still wait at a gateway.
+const UNASKED: f64 = 0.25;
+const ASKED: f64 = 0.5;
 /// A place of which nothing is heard for so many usual answer times and a little is taken for lost. Who
 /// has one out says so this often meanwhile: slow answers are the ones that pass a cap unseen.
 const LEASE: f64 = 6.0;
@@ -245,15 +249,13 @@
         let keeper = (request.first + (which % u64::from(spread)) as u32) % all;
         let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
         let took = self.fleet.took.max(1.0);
+        let part = self.unasked();
         let c = self.customer(key, name);
         let (ms, n) = (now - c.slice_at, f64::from(spread));
         c.slice_at = now;
-        c.ceiling = (c.ceiling + plan.ceiling_rate / n * ms / 1000.0)
-            .min((plan.ceiling_burst + plan.ceiling_slack) / n);
+        let part = part / n;
+        c.ceiling = (c.ceiling + plan.ceiling_rate * part * ms / 1000.0).min(plan.ceiling_burst * part);
         c.slice = (c.slice + plan.rate / n * ms / 1000.0).min(plan.burst / n);
-        if plan.ceiling_rate > 0.0 && c.ceiling < units {
-            return self.refuse(&request);
-        }
         // The throttle's own rule, on what was asked of the keeper and what it granted.
         let (at, demand, granted, _) = c.told.unwrap_or((f64::NEG_INFINITY, 0.0, 0.0, 0.0));
         let demand = demand * (-(now - at) / FADE_MS).exp();
@@ -285,8 +287,18 @@
         let ask = Ask { from: me, number, units, extra: 0.0, shared, until: now + most };
         let place = Some(number);
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let mut job =
-            Job { request, key, keeper, tier, arrived: now, number, place, until: ask.until, queued: true };
+        let mut job = Job {
+            request,
+            key,
+            keeper,
+            tier,
+            arrived: now,
+            number,
+            place,
+            until: ask.until,
+            queued: true,
+            granted: true,
+        };
         if keeper == me {
             return match self.asked(key, name, ask, units).0 {
                 Word::Grant => self.admit(job),
@@ -306,7 +318,7 @@
             return self.admit(job);
         }
         job.until = now + if self.cfg.notes { (ASK_PART * aim).min(most / 2.0) } else { 0.0 };
-        (job.queued, job.place) = (false, None);
+        (job.queued, job.place, job.granted) = (false, None, false);
         self.wait(job);
     }
 
@@ -320,8 +332,7 @@
             let until = |at: f64, level: f64, rate: f64| {
                 if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
             };
-            let ceiling = plan.ceiling_rate / f64::from(request.spread.max(1));
-            until(at, level, plan.rate).max(until(c.slice_at, c.ceiling, ceiling))
+            until(at, level, plan.rate)
         });
         let pause = pause.filter(|ms| *ms > aim).map_or(0.0, f64::ceil);
         self.actions.push(Action::Refuse { id: request.id, pause });
@@ -330,7 +341,7 @@
     fn customer(&mut self, key: u64, plan: usize) -> &mut Customer {
         let p = &self.cfg.plans[plan];
         let (now, credit) = (self.now, self.rng.random::<f64>());
-        // The ceiling's slice is empty at the start: a former life of this gateway may have spent it.
+        // What the ceiling allows is empty at the start: a former life of this gateway may have spent it.
         let c = self.customers.entry(key).or_insert_with(|| Customer {
             plan,
             at: now,
@@ -392,7 +403,8 @@
         let (id, plan, units) = (job.request.id, job.request.plan, job.request.units);
         // Asked again here: others of its customer may have been sent on while it waited.
         let ceiling = self.cfg.plans[plan].ceiling_rate;
-        let above = ceiling > 0.0 && self.customers.get(&job.key).is_none_or(|c| c.ceiling < units);
+        let unasked = ceiling > 0.0 && !(job.granted && self.cfg.notes);
+        let above = unasked && self.customers.get(&job.key).is_none_or(|c| c.ceiling < units);
         let most = self.room * self.cfg.classes[job.request.class].aim;
         let passes = !above && !self.throttled(job.tier);
         let chosen = if passes { self.choose(job.request.class, most, None, None) } else { None };
@@ -407,7 +419,7 @@
             return self.refuse(&job.request);
         };
         if let Some(c) = self.customers.get_mut(&job.key) {
-            c.ceiling -= units;
+            c.ceiling -= if unasked { units } else { 0.0 };
             c.open += 1;
         }
         if self.cfg.plans[plan].open > 0 && job.place == Some(job.number) {
@@ -474,6 +486,11 @@
         MARGIN * self.many() * self.cfg.largest * self.cfg.plans[plan].over_cost.min(1.0)
     }
 
+    /// The part of a ceiling that is sent on unasked: all of it where nobody can be asked.
+    fn unasked(&self) -> f64 {
+        if self.cfg.notes { UNASKED } else { 1.0 }
+    }
+
     /// Brings a kept store up to now.
     fn refill(&mut self, key: u64) {
         let Some(plan) = self.customers.get(&key).map(|c| c.plan) else { return };
@@ -483,6 +500,8 @@
         let ms = self.now - c.at;
         c.at = self.now;
         c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
+        let most = ASKED * plan.ceiling_burst / parts;
+        c.grantable = (c.grantable + (1.0 - UNASKED) * plan.ceiling_rate / parts * ms / 1000.0).min(most);
         c.demand *= (-ms / DEMAND_MS).exp();
         c.granted *= (-ms / DEMAND_MS).exp();
         while c.out.front().is_some_and(|(_, at)| self.now - at > lease) {
@@ -503,11 +522,13 @@
         while c.out.len() < plan.open as usize
             && let Some(ask) = c.queue.pop_front()
         {
-            if plan.rate > 0.0 && c.level < (ask.units + margin).min(plan.burst) {
+            let above = plan.ceiling_rate > 0.0 && c.grantable < ask.units;
+            if above || plan.rate > 0.0 && c.level < (ask.units + margin).min(plan.burst) {
                 words.push((ask, Word::Deny, 0.0));
                 continue;
             }
             c.level -= ask.units;
+            c.grantable -= ask.units;
             c.granted += ask.units * 1000.0 / DEMAND_MS;
             c.out.push_back(((ask.from, ask.number), now));
             words.push((ask, Word::Grant, ask.units));
@@ -523,16 +544,20 @@
         self.hand_out(key);
         let (now, took) = (self.now, self.fleet.took);
         let (parts, margin) = (f64::from(self.keepers(plan)), self.margin(plan));
+        let notes = self.cfg.notes;
         let Some(c) = self.customers.get_mut(&key) else { return (Word::Deny, 0.0) };
         let plan = &self.cfg.plans[c.plan];
         let full = plan.burst / parts;
         c.demand += weight * 1000.0 / DEMAND_MS;
-        let inside = plan.rate <= 0.0 || c.level >= (ask.units + margin).min(full);
+        let below = if plan.ceiling_rate > 0.0 && notes { c.grantable } else { f64::INFINITY };
+        let inside = below >= ask.units && (plan.rate <= 0.0 || c.level >= (ask.units + margin).min(full));
         let free = !ask.shared || (c.out.len() < plan.open as usize && c.queue.is_empty());
         if inside && free {
             // Of what is left beside, half at the most: others ask too.
-            let units = ask.units + ask.extra.min((c.level - ask.units) / 2.0).max(0.0);
+            let beside = c.level.min(below) - ask.units;
+            let units = ask.units + ask.extra.min(beside / 2.0).max(0.0);
             c.level -= units;
+            c.grantable -= units;
             c.granted += units * 1000.0 / DEMAND_MS;
             if ask.shared {
                 c.out.push_back(((ask.from, ask.number), now));
@@ -571,7 +596,7 @@
         match (self.waits.remove(&number), word) {
             (Some(w), Word::Grant) => {
                 self.spare(key, keeper, units - w.request.units, None);
-                self.admit(Job { place: Some(number), ..w });
+                self.admit(Job { place: Some(number), granted: true, ..w });
             }
             (Some(w), Word::Deny) => self.refuse(&w.request),
             (Some(mut w), Word::Wait) => {
@@ -916,7 +941,7 @@
                 Some(w) if own => self.admit(w),
                 Some(w) => {
                     self.tell(w.key, w.keeper, w.request.plan, w.request.units, None);
-                    self.admit(Job { place: h.job.place, ..w });
+                    self.admit(Job { place: h.job.place, granted: false, ..w });
                 }
                 None if own => {}
                 None => self.tell(h.job.key, h.job.keeper, h.job.request.plan, 0.0, h.job.place),
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,6 +17,8 @@
     pub level: f64,
     pub demand: f64,
     pub granted: f64,
+    /// What the ceiling allows it to grant, whatever comes back.
+    pub grantable: f64,
     pub out: VecDeque<((u32, u64), f64)>,
     pub queue: VecDeque<Ask>,
     /// Elsewhere: when the keeper last told, and of what demand, grants and store.
@@ -32,7 +34,7 @@
     /// What this gateway has out, and the most where each has places of its own.
     pub open: u32,
     pub slots: u32,
-    /// This gateway's slices of the ceiling and of the quota, as of `slice_at`.
+    /// This gateway's slices, as of `slice_at`, of the quota and of the ceiling's part for what goes on unasked.
     pub ceiling: f64,
     pub slice: f64,
     pub slice_at: f64,
@@ -70,6 +72,8 @@
     pub place: Option<u64>,
     pub until: f64,
     pub queued: bool,
+    /// Whether the keeper has granted its units.
+    pub granted: bool,
 }
 
 /// What is known of a server.
