Guess at a warming server's speed only as gatekeepers are many

At fault: control.rs likely, which takes cold workers for faster than the least that rules allow also where each gateway meets every worker several times a second and learns its speed by itself.

--- a/src/control.rs
+++ b/src/control.rs
@@ -694,10 +694,11 @@
         self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age
     }
 
-    /// The part it likely has: what holds for any server at the least is too little for most.
+    /// The part it likely has: what holds for any server at the least is too little for most. One of few
+    /// gateways soon has answers of its own and needs no such guess.
     fn likely(&self, s: &Live) -> f64 {
         let least = self.warmth(s);
-        least + (1.0 - least) * LIKELY * least
+        least + (1.0 - least) * LIKELY * self.many() * least
     }
 
     /// What is thought to be in flight at a server, from all gateways.
