Ask discovery's agent at once, and again within the grace of a drain

Ruled out: a slow connect, as `begin` asks the list once more before it writes. At fault: backoff.rs first and next, and discovery.rs follow: with 294 gatekeepers a restarted one waits for up to 8.8 s before its first call, and 1.5 to 4.5 s, later 15 to 45 s, after a call that failed. That spares a service that all share, but where lists come by themselves the agent on the own machine holds them, and what it holds counts as told.

Change: the waits follow the settings.

--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -69,7 +69,7 @@
     let known = config.known.take();
     let (moved, discovery) = watch::channel(config.discovery);
     let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part());
-    let backoff = Backoff::new(config.settings.gateways, config.seed ^ DISCOVERY_LOTS);
+    let backoff = Backoff::new(&config.conf, config.seed ^ DISCOVERY_LOTS);
     let places = config.sockets * WORKER_PART / 100;
     let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
     // A list with nobody on it is none to build on.
--- a/src/conf.rs
+++ b/src/conf.rs
@@ -29,8 +29,23 @@
     pub bounds: Bounds,
     #[serde(default)]
     domain: Domain,
+    /// How the list of servers is had.
     #[serde(default)]
-    rules: Rules,
+    pub discovery: Discovery,
+    /// The figures of the rules.
+    #[serde(default)]
+    pub rules: Rules,
+}
+
+/// How the list of servers is had.
+#[derive(Debug, Deserialize, Clone, Copy, PartialEq, Eq, Default)]
+#[serde(rename_all = "lowercase")]
+pub enum Discovery {
+    /// Changes are sent to every gatekeeper's machine, asked for or not.
+    #[default]
+    Automatic,
+    /// Each gatekeeper asks a service that all of them share.
+    Subscribe,
 }
 
 /// A class of requests.
@@ -119,14 +134,31 @@
     largest: f64,
 }
 
-#[derive(Debug, Deserialize, Default)]
+/// The figures of the rules, times in milliseconds.
+#[derive(Debug, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
-struct Rules {
+pub struct Rules {
     cold_from: f64,
     warm_within: f64,
+    /// Nothing new goes to a server this long after word came that it drains or is gone.
+    pub drain_grace: f64,
+    /// Who has not asked a shared discovery for this long counts as told what it had to tell.
+    pub must_ask_in: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules { cold_from: 0.0, warm_within: 0.0, drain_grace: 500.0, must_ask_in: 10_000.0 }
+    }
 }
 
 impl Conf {
+    /// How many gatekeepers there are.
+    #[must_use]
+    pub fn gateways(&self) -> u32 {
+        self.balancers
+    }
+
     /// What the module needs of them.
     #[must_use]
     pub fn settings(&self) -> Settings {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,5 +36,5 @@
 mod state;
 
 pub use api::*;
-pub use conf::{Bounds, Conf, ConfClass, ConfPlan, EffectWord};
+pub use conf::{Bounds, Conf, ConfClass, ConfPlan, Discovery, EffectWord, Rules};
 pub use control::Control;
