Let one of many gateways send four times the notes of one of few

At fault: control.rs flush, which bounds what one gateway sends to all peers together by three quarters of one peer's intake. That is right for three gateways; here a keeper of a busy customer, or a gateway with several times the mean of the requests, has its questions and answers wait in line until nobody waits for them any more.

Change: with many gateways (17 and more) the bound is four times as high, in proportion below.

--- a/src/control.rs
+++ b/src/control.rs
@@ -61,8 +61,11 @@
 /// Before there are answers one is taken to need this part of the shortest aim, and that counts as so many.
 const TOOK_PART: f64 = 0.25;
 const TOOK_PRIOR: f64 = 4.0;
-/// The part of the peers' intake that notes may fill, a tenth of a second's at one stroke.
+/// The part of a peer's intake that the notes of one of few gateways may fill, a tenth of a second's at one
+/// stroke. One of many may send so many times as much: its notes are spread over as many peers as it has
+/// customers, and some gateways get several times the mean of the requests.
 const INTAKE_PART: f64 = 0.75;
+const BUSIER: f64 = 4.0;
 const NOTE_BYTES: usize = 256;
 /// Customers not seen for this long are forgotten: by then every bucket is full again.
 const IDLE_MS: f64 = 60_000.0;
@@ -999,7 +1002,7 @@
 
     /// Sends what is due, as far as the peers can take it in; the rest follows in fuller notes.
     fn flush(&mut self) {
-        let rate = INTAKE_PART * self.cfg.note_intake.max(1.0);
+        let rate = INTAKE_PART * self.cfg.note_intake.max(1.0) * (1.0 + (BUSIER - 1.0) * self.many());
         let most = (0.1 * rate).max(1.0);
         self.post.left = (self.post.left + rate * (self.now - self.post.left_at) / 1000.0).min(most);
         self.post.left_at = self.now;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -46,8 +46,8 @@
     g
 }
 
-fn ask(id: u64, class: usize, plan: usize, now: f64) -> Event {
-    Event::Request(Request {
+fn request(id: u64, class: usize, plan: usize, now: f64) -> Request {
+    Request {
         id,
         customer: "acme".into(),
         class,
@@ -57,7 +57,11 @@
         spread: 2,
         give_up: now + 2000.0,
         repeat: false,
-    })
+    }
+}
+
+fn ask(id: u64, class: usize, plan: usize, now: f64) -> Event {
+    Event::Request(request(id, class, plan, now))
 }
 
 fn end(id: u64, server: &str, ending: Ending, latency: f64) -> Event {
@@ -311,6 +315,25 @@
     assert!(told(&done, "k,").is_none() && timer(&done).is_none(), "what has ended is not spoken of");
 }
 
+#[test]
+fn a_busy_gateway_of_hundreds_asks_the_keepers_of_all_its_customers_at_once() {
+    let mut g = gateway(Settings { gateways: 300, note_intake: 60.0, ..settings() });
+    let (mut asked, mut late) = (0, 0.0f64);
+    for k in 0..80u64 {
+        let now = 1000.0 + 12.5 * k as f64;
+        let request = Request { customer: format!("c{k}").into(), spread: 300, ..request(k, 0, 1, now) };
+        let mut done = g.handle(now, Event::Request(request));
+        let mut at = now;
+        while !done.iter().any(|a| matches!(a, Action::Tell { .. })) && at < now + 100.0 {
+            at += 1.0;
+            done = g.handle(at, Event::Timer { token: 1 });
+        }
+        asked += done.iter().filter(|a| matches!(a, Action::Tell { .. })).count();
+        late = late.max(at - now);
+    }
+    assert!(asked >= 75 && late < 10.0, "{asked} of 80 asked, the latest after {late} ms");
+}
+
 #[test]
 fn nonsense_in_a_note_is_passed_over() {
     let mut g = gateway(Settings { gateways: 2, ..settings() });
