Keep the stock that a keeper grants beside a request that is out

At fault: control.rs answered. A gateway that has stock sends a request on at once and asks for more meanwhile; the answer finds that request still out, takes it for one that went on with a silent keeper, and drops the units.

Change: only a request that was not granted takes a late grant for its own; any other grant becomes stock, or goes back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -612,15 +612,13 @@
                 self.wait(w);
             }
             // Too late: what was not sent on meanwhile goes back.
-            (None, Word::Grant) => {
-                let out = self.held.values_mut().find(|h| h.job.number == number && h.job.place.is_none());
-                if let Some(h) = out {
+            (None, Word::Grant) => match self.held.values_mut().find(|h| h.job.number == number) {
+                Some(h) if !h.job.granted && h.job.place.is_none() => {
                     h.job.place = Some(number);
                     self.renew_later(number);
-                } else {
-                    self.spare(key, keeper, units, Some(number));
                 }
-            }
+                _ => self.spare(key, keeper, units, Some(number)),
+            },
             _ => {}
         }
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -189,6 +189,17 @@
     }
 }
 
+#[test]
+fn what_a_keeper_grants_ahead_is_sent_on() {
+    let mut cfg = settings();
+    cfg.plans[1] = Plan { rate: 10.0, burst: 60.0, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    for who in [0, 1] {
+        let mut pair = Pair::new(cfg.clone());
+        let sent: usize = (0..120).map(|k| through(&mut pair, who, k, 50.0 * k as f64)).sum();
+        assert!(sent >= 110, "{sent} units sent on of a store of 60 and as many that came in");
+    }
+}
+
 #[test]
 fn places_are_shared_granted_and_come_back() {
     // Two places, three gateways in the set: none has one of its own.
