Have the test of a closed pooled connection end the socket itself, not one copy of it

Checked: the panic comes 20.2 s after the start, so it is the second wait for a connection, after the worker's end is dropped; a first list that came late would have taken a second more. The gatekeeper asks each pooled socket whether it has ended (Conn::stale), so the end had not arrived. At fault: the test. Another test that starts a process holds a copy of every socket between its fork and its exec; dropping the worker's end then ends nothing, the request goes out on the old connection and meets a reset, and a request that may have run and must not run twice is not put to another worker, as it should be.

Change: the fake worker shuts its side down, which does not depend on copies, and waits until the gatekeeper has closed in turn: an event in place of luck.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,7 +1,7 @@
 //! The built gatekeeper over loopback, against small fakes of clients, workers and discovery.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -493,7 +493,11 @@
         thread::sleep(RESTED);
     }
     assert!(worker.nobody());
-    drop(line);
+    // Another test that starts a process just now holds a copy of the socket until its exec, so that dropping
+    // it may end nothing yet. The gatekeeper closes it in turn once it has seen the end.
+    let mut line = line.expect("a connection");
+    line.read.get_ref().shutdown(Shutdown::Write).expect("open");
+    assert!(line.ended());
     client.say(order("pay", 5000));
     let mut line = worker.next();
     line.command();
