Read the true units that workers tell, and settle them with the keeper

At fault: resp.rs reply, which passed over the figures on use, and gateway.rs end, where every outcome said `units: None`: a keeper's store drifted from the true one with every request, over the customer's quota or under it.

Change: an answer's figures are read beside its report; a cost that is no number, not above nothing or more than the settings' largest request leaves the guess as it is, and figures or a report that can't be read cost only themselves.

The test that counts what ten requests take from a store of ten finds 10 sent on without the change and 3 with it.

--- a/src/api.rs
+++ b/src/api.rs
@@ -95,6 +95,12 @@
 }
 
 impl Settings {
+    /// The most units that any request can count, also where the settings set no bound.
+    #[must_use]
+    pub fn most_units(&self) -> f64 {
+        if self.largest > 0.0 { self.largest } else { 1e6 }
+    }
+
     /// Whether the settings can be acted on.
     ///
     /// # Errors
--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -108,8 +108,7 @@
                     deadline.replace((ms.ok_or("bad d")?, place)).is_some()
                 }
                 "units" => {
-                    let most = if gateway.settings.largest > 0.0 { gateway.settings.largest } else { 1e6 };
-                    let sound = |x: &f64| x.is_finite() && *x > 0.0 && *x <= most;
+                    let sound = |x: &f64| *x > 0.0 && *x <= gateway.settings.most_units();
                     units.replace(value.parse::<f64>().ok().filter(sound).ok_or("bad units")?).is_some()
                 }
                 "first" => {
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -275,11 +275,12 @@
             conn.close();
         }
         match reply {
-            Reply::Served { value, report } => {
+            Reply::Served { value, used, report } => {
                 if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
                     client.answer(id, &bytes[value]);
                 }
-                self.end(id, Ending::Ok, report.and_then(|at| workers::report(&bytes[at])));
+                let units = used.and_then(|at| workers::cost(&bytes[at], self.settings.most_units()));
+                self.settle(id, Ending::Ok, report.and_then(|at| workers::report(&bytes[at])), units);
             }
             Reply::Error(_) => match line {
                 Some(Refusal::Busy(report)) => self.end(id, Ending::Full, report),
@@ -492,8 +493,13 @@
         self.end(id, if conn.written.get() { ending } else { Ending::Unreachable }, None);
     }
 
-    /// The attempt has ended; the module hears of it.
+    /// The attempt has ended and nothing is known of the true units.
     fn end(&mut self, id: u64, ending: Ending, report: Option<Report>) {
+        self.settle(id, ending, report, None);
+    }
+
+    /// The attempt has ended; the module hears of it.
+    fn settle(&mut self, id: u64, ending: Ending, report: Option<Report>, units: Option<f64>) {
         let now = self.clock.now();
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = r.attempt.take() else { return };
@@ -505,7 +511,7 @@
             latency: (now - attempt.started).max(0.0),
             last: r.client.is_none(),
             metered: None,
-            units: None,
+            units,
             report,
         };
         self.event(Event::Outcome(outcome));
--- a/src/bin/frostvale/resp.rs
+++ b/src/bin/frostvale/resp.rs
@@ -42,8 +42,9 @@
 /// What a worker answered: places in the bytes read.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Reply {
-    /// Served: the whole bulk string of the value, head and end included, and the load report.
-    Served { value: Range<usize>, report: Option<Range<usize>> },
+    /// Served: the whole bulk string of the value, head and end included, the figures on use and the load
+    /// report.
+    Served { value: Range<usize>, used: Option<Range<usize>>, report: Option<Range<usize>> },
     /// An error line, without its sign and end.
     Error(Range<usize>),
 }
@@ -129,18 +130,20 @@
             if count != 3 {
                 return Err(Broken("an answer that has not three parts"));
             }
-            let Some((value, used)) = bulk(bytes, start)? else { return Ok(None) };
+            let Some((value, after)) = bulk(bytes, start)? else { return Ok(None) };
             value.ok_or(Broken("an answer without a value"))?;
+            let served = |used, report| Reply::Served { value: start..after, used, report };
             // The value stands whole. Where what comes with it can't be read, where the answer ends can't be
             // told, but the value is none the worse.
-            let rest = || match bulk(bytes, used)? {
-                Some((_, report)) => bulk(bytes, report),
-                None => Ok(None),
+            let (used, next) = match bulk(bytes, after) {
+                Ok(Some(figures)) => figures,
+                Ok(None) => return Ok(None),
+                Err(_) => return Ok(Some((served(None, None), 0))),
             };
-            Ok(match rest() {
+            Ok(match bulk(bytes, next) {
+                Ok(Some((report, end))) => Some((served(used, report), end)),
                 Ok(None) => None,
-                Ok(Some((report, end))) => Some((Reply::Served { value: start..used, report }, end)),
-                Err(Broken(_)) => Some((Reply::Served { value: start..used, report: None }, 0)),
+                Err(_) => Some((served(used, None), 0)),
             })
         }
     }
@@ -214,24 +217,24 @@
     }
 
     #[test]
-    fn an_answer_gives_its_value_and_report() {
-        let bytes = b"*3\r\n$2\r\nhi\r\n$-1\r\n$8\r\nutil=0.5\r\n";
+    fn an_answer_gives_its_value_figures_and_report() {
+        let bytes = b"*3\r\n$2\r\nhi\r\n$6\r\ncost=3\r\n$8\r\nutil=0.5\r\n";
         for cut in 0..bytes.len() {
             assert_eq!(reply(&bytes[..cut]), Ok(None), "{cut} bytes");
         }
         let (read, len) = reply(bytes).expect("sound").expect("whole");
-        let Reply::Served { value, report: Some(report) } = read else { panic!("served") };
-        assert_eq!(
-            (len, &bytes[value], &bytes[report]),
-            (bytes.len(), &b"$2\r\nhi\r\n"[..], &b"util=0.5"[..])
-        );
+        let Reply::Served { value, used: Some(used), report: Some(report) } = read else { panic!("served") };
+        assert_eq!((len, &bytes[value]), (bytes.len(), &b"$2\r\nhi\r\n"[..]));
+        assert_eq!((&bytes[used], &bytes[report]), (&b"cost=3"[..], &b"util=0.5"[..]));
         for odd in
             [&b":7\r\n$-1\r\n"[..], b"$-1\r\n+util\r\n", b"$-1\r\n$9999999\r\n", b"$1\r\nabc", b"$-1\r\n#"]
         {
             let bytes = [&b"*3\r\n$2\r\nhi\r\n"[..], odd].concat();
             let (read, len) = reply(&bytes).expect("sound").expect("whole");
-            assert_eq!((read, len), (Reply::Served { value: 4..12, report: None }, 0));
+            assert_eq!((read, len), (Reply::Served { value: 4..12, used: None, report: None }, 0));
         }
+        let (read, _) = reply(b"*3\r\n$2\r\nhi\r\n$6\r\ncost=3\r\n#").expect("sound").expect("whole");
+        assert_eq!(read, Reply::Served { value: 4..12, used: Some(16..22), report: None });
         let (read, _) = reply(b"-BUSY\r\n").expect("sound").expect("whole");
         assert_eq!(read, Reply::Error(1..5));
     }
--- a/src/bin/frostvale/workers.rs
+++ b/src/bin/frostvale/workers.rs
@@ -304,12 +304,22 @@
     }
 }
 
-/// A load report: names and figures. What can't be read is passed over.
+/// Names and their figures. What can't be read is passed over.
+fn figures(text: &[u8]) -> impl Iterator<Item = (&str, Option<f64>)> {
+    let pairs = std::str::from_utf8(text).unwrap_or_default().split(',').filter_map(|p| p.split_once('='));
+    pairs.map(|(name, figure)| (name, figure.parse().ok().filter(|x: &f64| x.is_finite() && *x >= 0.0)))
+}
+
+/// The true units that figures on use tell, if they can be so many.
+pub fn cost(text: &[u8], most: f64) -> Option<f64> {
+    let (_, cost) = figures(text).find(|(name, _)| *name == "cost")?;
+    cost.filter(|units| *units > 0.0 && *units <= most)
+}
+
+/// A load report.
 pub fn report(text: &[u8]) -> Option<Report> {
     let mut report = Report::default();
-    for pair in std::str::from_utf8(text).ok()?.split(',') {
-        let Some((name, figure)) = pair.split_once('=') else { continue };
-        let figure = figure.parse().ok().filter(|x: &f64| x.is_finite() && *x >= 0.0);
+    for (name, figure) in figures(text) {
         match name {
             "inflight" => report.in_flight = figure,
             "util" => report.busy = figure,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -505,6 +505,42 @@
     assert_eq!(client.answer(), "done");
 }
 
+/// How many of ten requests of one unit each a store of ten that hardly fills lets through, where each
+/// answer comes with these figures on use.
+fn let_through(used: &'static str) -> usize {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let (usual, small) =
+        (r#""UnitsPerS":1000.0,"PeakUnits":1000.0"#, r#""UnitsPerS":0.001,"PeakUnits":10.0"#);
+    let node = start(&Setup::new(discovery.at).config().replace(usual, small), "exec");
+    thread::spawn(move || {
+        for mut line in worker.came.iter().map(Line::of) {
+            thread::spawn(move || {
+                while line.read.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+                    line.command();
+                    line.say(format!("*3\r\n$1\r\nx\r\n${}\r\n{used}\r\n$-1\r\n", used.len()));
+                }
+            });
+        }
+    });
+    let mut client = node.client();
+    let answers = (0..10).map(|_| {
+        client.say(ask(5000));
+        client.answer()
+    });
+    answers.take_while(|answer| answer == "x").count()
+}
+
+#[test]
+fn the_true_units_of_an_answer_count_against_the_quota() {
+    assert_eq!(let_through("used=37,cost=4"), 3, "twelve of ten units are used");
+    for unusable in
+        ["used=37", "cost=", "cost=-4", "cost=NaN", "cost=inf", "cost=400", "cost=4=4", "\u{1F600}"]
+    {
+        assert_eq!(let_through(unusable), 10, "{unusable}: the guess stands");
+    }
+}
+
 #[test]
 fn an_id_that_is_open_is_not_sent_on_again() {
     let (worker, _discovery, node) = one_worker();
