Go on answering peers after SIGTERM until shortly before the kill that may follow

A customer's set has 137 to 283 gateways there, so each meets it once in many seconds and lets its first request through: with the keeper away nothing limits. Ruled out: keepers too busy to answer; where all are up 5% at most of the units go on unasked. At fault: main.rs run, which ends the process once its own clients are answered. That is harmless for one gatekeeper of three; of 300 that restart by tenths each takes the stores of its customers away for three seconds.

A second SIGTERM ends it. The test fails without it ("the peer's question is answered": nobody is there).

--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -23,7 +23,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// How long discovery may be silent at the start before the known list has to do.
 const FIRST_LIST: Duration = Duration::from_secs(1);
@@ -31,6 +31,8 @@
 const DISCOVERY_LOTS: u64 = 0x9e37_79b9_7f4a_7c15;
 /// New connections go on coming for up to 0.4 s after SIGTERM.
 const FAREWELL: Duration = Duration::from_millis(500);
+/// The part of the time before a kill for which one that was told to end goes on answering its peers.
+const KEEPING_PART: f64 = 0.9;
 /// The parts of the descriptors, in hundredths, that clients and workers may hold: the rest is for the
 /// listener, discovery, notes and what is about to be closed. Clients hold a third at most for requests, and one
 /// at its own limit can't open a connection before an idle one of its is closed: so room is made from there on.
@@ -79,6 +81,7 @@
     }
     let news = Rc::new(Notify::new());
     gateway.borrow_mut().news = news.clone();
+    let keeps = peers.is_some();
     if let Some(peers) = peers {
         spawn_local(peers.listen(gateway.clone(), me));
     }
@@ -109,6 +112,7 @@
         _ = int.recv() => {}
     }
     eprintln!("frostvale: {name} stops");
+    let stopped = Instant::now();
     let _ = timeout(FAREWELL, clients.clone().accept(&listener, gateway.clone())).await;
     drop(listener);
     clients.close_soon();
@@ -119,5 +123,15 @@
     while !gateway.borrow().settled() {
         sleep(Duration::from_millis(5)).await;
     }
+    // Its peers go on asking for the stores that are kept here, of which its next life knows nothing. Who
+    // tells it to end once more won't wait for that.
+    if keeps {
+        let until = stopped + gateway.borrow().conf.grace().mul_f64(KEEPING_PART);
+        tokio::select! {
+            () = sleep_until(until) => {}
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    }
     Ok(())
 }
--- a/src/conf.rs
+++ b/src/conf.rs
@@ -3,6 +3,12 @@
 
 use crate::api::*;
 use serde::Deserialize;
+use std::time::Duration;
+
+/// The protocol page: SIGKILL comes after SIGTERM no sooner than the longest deadline, taken as the first of
+/// these where it is longer, and the second.
+const GRACE_WAIT_MS: f64 = 3000.0;
+const GRACE_MORE_MS: f64 = 700.0;
 
 /// The object of settings that a gateway is given at its start.
 #[derive(Debug, Deserialize)]
@@ -159,6 +165,14 @@
         self.balancers
     }
 
+    /// How long a gatekeeper that is told to end has at the least before it is killed.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let waits = if longest > 0.0 { longest.min(GRACE_WAIT_MS) } else { GRACE_WAIT_MS };
+        Duration::from_secs_f64((waits + GRACE_MORE_MS) / 1000.0)
+    }
+
     /// What the module needs of them.
     #[must_use]
     pub fn settings(&self) -> Settings {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1020,12 +1020,12 @@
     assert!(!run.status.success() && String::from_utf8_lossy(&run.stderr).contains("GW_CONFIG"));
 }
 
-#[test]
-fn strangers_and_odd_datagrams_are_passed_over() {
+/// A gatekeeper of two, where it takes notes, and the other one's socket.
+fn one_of_two() -> (Node, SocketAddr, UdpSocket) {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let (peer, stranger) = (UdpSocket::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
-    let (peer, stranger) = (peer.expect("a port"), stranger.expect("a port"));
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    peer.set_read_timeout(Some(LONG)).expect("a socket");
     let own = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
     let config = format!(
         r#"{{"listen":"127.0.0.1:0","discovery":"{}","seed":"1","peer_listen":"{own}","peers":["{own}","{}"],
@@ -1036,17 +1036,43 @@
         discovery.at,
         peer.local_addr().expect("bound"),
     );
-    let _node = start(&config, "exec");
+    (start(&config, "exec"), own, peer)
+}
+
+/// Asks a keeper for a unit of a customer's store; gives the answer.
+fn question(peer: &UdpSocket, own: SocketAddr, number: u32) -> String {
+    peer.send_to(format!("a,aa,0,{number:x},1.0,0.0,1.0,500;").as_bytes(), own).expect("sent");
+    let mut bytes = [0; 512];
+    let (len, from) = peer.recv_from(&mut bytes).expect("the peer's question is answered");
+    assert!(from == own && len <= 256);
+    String::from_utf8_lossy(&bytes[..len]).into_owned()
+}
+
+#[test]
+fn strangers_and_odd_datagrams_are_passed_over() {
+    let (_node, own, peer) = one_of_two();
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
     peer.send_to(&[b'a'; 300], own).expect("sent");
     peer.send_to(&[0xff; 10], own).expect("sent");
     peer.send_to(b"a,1,99999,zz;g,1,7,1,-1,0,0,0;t,,;;,,,", own).expect("sent");
     stranger.send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own).expect("sent");
-    peer.send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own).expect("sent");
-    peer.set_read_timeout(Some(LONG)).expect("a socket");
-    let mut bytes = [0; 512];
-    let (len, from) = peer.recv_from(&mut bytes).expect("the peer's question is answered");
-    assert!(from == own && len <= 256);
-    assert!(bytes.starts_with(b"g,aa,1,1,"), "{}", String::from_utf8_lossy(&bytes[..len]));
+    let answer = question(&peer, own, 1);
+    assert!(answer.starts_with("g,aa,1,1,"), "{answer}");
     stranger.set_nonblocking(true).expect("a socket");
-    assert!(stranger.recv_from(&mut bytes).is_err(), "a stranger is not");
+    assert!(stranger.recv_from(&mut [0; 512]).is_err(), "a stranger is not");
+}
+
+#[test]
+fn who_is_told_to_end_answers_its_peers_as_long_as_it_may_and_then_ends() {
+    let (mut node, own, peer) = one_of_two();
+    let mut idle = node.client();
+    idle.say(words(&["PING"]));
+    assert_eq!(idle.answer(), "+PONG");
+    node.signal("-TERM");
+    assert!(idle.ended(), "it is done with its clients");
+    for number in 1..10 {
+        let answer = question(&peer, own, number);
+        assert!(answer.starts_with(&format!("g,aa,1,{number},")), "{answer}");
+    }
+    assert!(node.exit().success(), "before it is killed");
 }
