Give each customer one keeper: no plan is fast enough for more

Seen: a plan's units were parted between as many keepers as a third of a gateway's intake of notes needs. Checked: the parts entered refill, asked and on_request, each as a division by one.

Change: removed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -38,8 +38,6 @@
 const ASK_MORE: f64 = 1.5;
 /// Up to so many gateways fill their notes with many items, and one keeper can take them in.
 const FEW: u32 = 16;
-/// The part of a gateway's intake that the units of one customer may take; above, it has more keepers.
-const KEEPER_PART: f64 = 0.35;
 /// A gateway asks for its own demand of this time at once, so that most requests need not wait.
 const STOCK_MS: f64 = 400.0;
 /// Units told after the fact may wait this long for a note that goes anyway.
@@ -251,8 +249,7 @@
         let key = key_of(&request.customer);
         let plan = self.cfg.plans[request.plan].clone();
         let spread = if request.spread == 0 { all } else { request.spread.min(all) };
-        let which = key + u64::from(me % self.keepers(request.plan));
-        let keeper = (request.first + (which % u64::from(spread)) as u32) % all;
+        let keeper = (request.first + (key % u64::from(spread)) as u32) % all;
         let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
         let took = self.fleet.took.max(1.0);
         let part = self.unasked();
@@ -496,14 +493,6 @@
         }
     }
 
-    /// How many keepers a customer's units are parted between, each for its part of the gateways.
-    fn keepers(&self, plan: usize) -> u32 {
-        let plan = &self.cfg.plans[plan];
-        let requests = 2.0 * plan.rate / (1.0 + self.cfg.largest.max(1.0));
-        let many = ASK_MORE * requests / (KEEPER_PART * self.cfg.note_intake.max(1.0));
-        if plan.open > 0 { 1 } else { (many.ceil() as u32).clamp(1, 1 + self.cfg.gateways / FEW) }
-    }
-
     /// How near the gateways are to being many, up to 1: with one of many each knows little of its own.
     fn many(&self) -> f64 {
         (f64::from(self.cfg.gateways - 1) / f64::from(FEW)).min(1.0)
@@ -521,15 +510,14 @@
 
     /// Brings a kept store up to now.
     fn refill(&mut self, key: u64) {
-        let Some(plan) = self.customers.get(&key).map(|c| c.plan) else { return };
-        let (parts, lease) = (f64::from(self.keepers(plan)), self.lease());
+        let lease = self.lease();
         let Some(c) = self.customers.get_mut(&key) else { return };
         let plan = &self.cfg.plans[c.plan];
         let ms = self.now - c.at;
         c.at = self.now;
-        c.level = (c.level + plan.rate / parts * ms / 1000.0).min(plan.burst / parts);
-        let most = ASKED * plan.ceiling_burst / parts;
-        c.grantable = (c.grantable + (1.0 - UNASKED) * plan.ceiling_rate / parts * ms / 1000.0).min(most);
+        c.level = (c.level + plan.rate * ms / 1000.0).min(plan.burst);
+        let most = ASKED * plan.ceiling_burst;
+        c.grantable = (c.grantable + (1.0 - UNASKED) * plan.ceiling_rate * ms / 1000.0).min(most);
         c.demand *= (-ms / DEMAND_MS).exp();
         c.granted *= (-ms / DEMAND_MS).exp();
         while c.out.front().is_some_and(|(_, at)| self.now - at > lease) {
@@ -568,7 +556,7 @@
         // Places whose return was lost come free by time alone: nobody else would tell the line of it.
         self.hand_out(key);
         let (now, took) = (self.now, self.fleet.took);
-        let (parts, margin) = (f64::from(self.keepers(plan)), self.margin(plan));
+        let margin = self.margin(plan);
         let notes = self.cfg.notes;
         let Some(c) = self.customers.get_mut(&key) else { return (Word::Deny, 0.0) };
         // Asked again as its answer was lost: it is charged already, or in line.
@@ -580,10 +568,10 @@
             return (Word::Wait, 0.0);
         }
         let plan = &self.cfg.plans[c.plan];
-        let full = plan.burst / parts;
         c.demand += weight * 1000.0 / DEMAND_MS;
         let below = if plan.ceiling_rate > 0.0 && notes { c.grantable } else { f64::INFINITY };
-        let inside = below >= ask.units && (plan.rate <= 0.0 || c.level >= (ask.units + margin).min(full));
+        let inside =
+            below >= ask.units && (plan.rate <= 0.0 || c.level >= (ask.units + margin).min(plan.burst));
         let free = !ask.shared || (c.out.len() < plan.open as usize && c.queue.is_empty());
         if inside && free {
             // Of what is left beside, half at the most: others ask too.
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,8 @@
     pub level: f64,
     pub demand: f64,
     pub granted: f64,
+    /// What lately came to it while it was full.
+    pub spilt: f64,
     /// What the ceiling allows it to grant, whatever comes back.
     pub grantable: f64,
     pub out: VecDeque<((u32, u64), f64)>,
