Tell a keeper that is heard again what went on without it

Checked: the keepers' stores filled for 6 s, as nobody could ask, while gateways sent on about 24000 units unasked. None of these is ever told: the keepers grant the same units again. At fault: control.rs on_waited, which lets a request through when its keeper is silent and says nothing of it later.

Change: a gateway keeps what it sent on unasked by customer, as far as a try beyond the quota costs, and tells the keepers with the first note that comes in, as who hears others may be heard again. A keeper takes it from what its store lately spilt, then from the store, but not below nothing: beyond the quota nothing is taken. The test plays a partition between two gateways: 3 sent on and 3 left of a store of 4 without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -405,6 +405,10 @@
                 units && (open <= 0.0 || f64::from(c.open) < open.max(1.0))
             });
         if passes {
+            let units = w.request.units * self.cfg.plans[w.request.plan].over_cost.min(1.0);
+            if self.cfg.notes && units > 0.0 {
+                self.post.unasked.entry(w.key).or_insert((w.keeper, w.request.plan, 0.0)).2 += units;
+            }
             return self.admit(w);
         }
         if w.queued && self.customers.get(&w.key).is_some_and(|c| c.slots < u32::MAX) {
@@ -515,7 +519,9 @@
         let plan = &self.cfg.plans[c.plan];
         let ms = self.now - c.at;
         c.at = self.now;
-        c.level = (c.level + plan.rate * ms / 1000.0).min(plan.burst);
+        let level = c.level + plan.rate * ms / 1000.0;
+        c.level = level.min(plan.burst);
+        c.spilt = c.spilt * (-ms / DEMAND_MS).exp() + level - c.level;
         let most = ASKED * plan.ceiling_burst;
         c.grantable = (c.grantable + (1.0 - UNASKED) * plan.ceiling_rate * ms / 1000.0).min(most);
         c.demand *= (-ms / DEMAND_MS).exp();
@@ -1041,6 +1047,10 @@
 
     fn on_note(&mut self, from: u32, text: &str) {
         let now = self.now;
+        // Who hears others may be heard again: keepers are told what went on unasked, as far as it costs.
+        for (key, (keeper, plan, units)) in std::mem::take(&mut self.post.unasked) {
+            self.note(keeper, key, 0.0, Item::Unasked { plan, units });
+        }
         for (key, item) in text.split(';').filter_map(|t| Item::read(t, from, now)) {
             match item {
                 Item::Ask { plan, ask, weight } if plan < self.cfg.plans.len() => {
@@ -1050,6 +1060,16 @@
                 Item::Tell { plan, units, place } if plan < self.cfg.plans.len() => {
                     self.told(key, plan, units, place.map(|k| (from, k)));
                 }
+                Item::Unasked { plan, units } if plan < self.cfg.plans.len() => {
+                    self.customer(key, plan);
+                    self.refill(key);
+                    // What was spilt meanwhile is taken first; what goes on beyond the quota takes nothing.
+                    if let Some(c) = self.customers.get_mut(&key) {
+                        let taken = units - units.min(c.spilt);
+                        c.spilt -= units - taken;
+                        c.level = (c.level - taken).max(c.level.min(0.0));
+                    }
+                }
                 Item::Keep { plan, place } if plan < self.cfg.plans.len() => {
                     self.customer(key, plan);
                     self.refill(key);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -230,6 +230,50 @@
     assert_eq!(says(5, 1003.0), ["0 5"]);
 }
 
+/// What a gateway sends on while no notes pass, and what its keeper then finds left of a store of four.
+fn after_a_partition(rate: f64) -> (usize, usize) {
+    let mut cfg = settings();
+    cfg.plans[1] = Plan { rate, burst: 4.0, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    let mut pair = Pair::new(cfg);
+    let (who, ..) = asker(&mut pair, 0.0);
+    pair.lost = true;
+    let (mut unasked, mut timers) = (0, Vec::new());
+    for k in 0..400u64 {
+        let now = 1000.0 + 10.0 * k as f64;
+        let mut events: Vec<Event> =
+            timers.extract_if(.., |(at, _)| *at <= now).map(|(_, token)| Event::Timer { token }).collect();
+        if k % 40 == 0 {
+            events.push(ask(10 + k, 0, 1, now));
+        }
+        for (_, action) in events.into_iter().flat_map(|e| pair.handle(who, now, e)).collect::<Vec<_>>() {
+            match action {
+                Action::SetTimer { token, after } => timers.push((now + after, token)),
+                Action::Send { id, server, .. } => {
+                    unasked += 1;
+                    pair.handle(who, now, end(id, &server, Ending::Ok, 5.0));
+                }
+                _ => {}
+            }
+        }
+    }
+    pair.lost = false;
+    let heard = Event::Note { from: 1 - who as u32, text: String::new() };
+    pair.handle(who, 5000.0, heard);
+    (unasked, (0..10).map(|k| through(&mut pair, 1 - who, 1000 + k, 5000.0)).sum())
+}
+
+#[test]
+fn a_keeper_that_is_heard_again_learns_what_went_on_without_it() {
+    let (unasked, left) = after_a_partition(0.1);
+    assert!(unasked >= 2, "{unasked} sent on");
+    assert!(unasked + left <= 5, "{unasked} sent on and {left} left of four and a little");
+    let (unasked, left) = after_a_partition(2.0);
+    assert!(
+        unasked >= 2 && left == 4,
+        "{unasked} sent on, of what the full store would have spilt: {left} left"
+    );
+}
+
 #[test]
 fn what_a_keeper_grants_ahead_is_sent_on() {
     let mut cfg = settings();
@@ -403,6 +447,7 @@
         "g,1,7,1,1,1,1,1;",
         "g,ff,1,1,1e300,1,1,1;",
         "\u{1F600},1,1",
+        "u,1,99,1.0;u,1,0,-5.0;u,1,0,NaN;u,1,0",
     ] {
         g.handle(1.0, Event::Note { from: 1, text: text.into() });
     }
