Charge what went on as only the keeper's answer was lost no second time

Seen: a keeper that granted a question whose answers were lost takes the units, and then takes them again when the gateway that heard nothing tells what it sent on unasked. Checked: the keeper knows the questions it granted last by gateway and number (a question put again is charged once). At fault: control.rs on_note, where what went on unasked named no question.

Change: it names the last question of those that it counts; a keeper that granted that one takes nothing. In a real partition no question arrives, so all is taken as before. The test finds the fourth unit of a store of four refused without it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -42,9 +42,8 @@
 const STOCK_MS: f64 = 400.0;
 /// Units told after the fact may wait this long for a note that goes anyway.
 const TELL_MS: f64 = 1000.0;
-/// The part of the largest request's units that stays in a kept store, as far as a try sent on beyond the
-/// quota costs and as gateways are many: what they have out is not settled yet, and a customer that asks for
-/// more than its quota takes the store to its end each time. With three it costs more than it saves.
+/// The part of the largest request's units that stays in a kept store, as far as a try beyond the quota costs
+/// and as gateways are many: what they have out is not settled yet. With three it costs more than it saves.
 const MARGIN: f64 = 0.3;
 /// The part of a ceiling that gateways may send on unasked, in even slices; the rest its keeper grants. Of
 /// the burst it grants less, as what was granted may still wait at a gateway.
@@ -60,8 +59,7 @@
 const TOOK_PART: f64 = 0.25;
 const TOOK_PRIOR: f64 = 4.0;
 /// The part of a peer's intake that the notes of one of few gateways may fill, a tenth of a second's at one
-/// stroke. One of many may send so many times as much: its notes are spread over as many peers as it has
-/// customers, and some gateways get several times the mean of the requests.
+/// stroke. One of many may send so many times as much, as its notes are spread over as many peers.
 const INTAKE_PART: f64 = 0.75;
 const BUSIER: f64 = 4.0;
 const NOTE_BYTES: usize = 256;
@@ -78,8 +76,7 @@
 /// A request looks at so many servers with room at the least, at more where each gateway knows more.
 const LOOK: f64 = 2.0;
 /// So many gateways send to a server by choice, and each to so many servers at the least. More would be met
-/// so seldom that nothing is learned of them, and for each one a connection has to be opened: with 20 and
-/// 10 a large fleet opens a tenth more of them and serves no better.
+/// too seldom to be known, each over a connection of its own: 20 and 10 open a tenth more, serve no better.
 const MET_BY: f64 = 13.0;
 const MEETS: f64 = 7.0;
 const SIZE_LEAST: f64 = 1e-3;
@@ -88,8 +85,7 @@
 const REPORT_MS: f64 = 1000.0;
 /// The same for a server that is thought to have room for nothing: it is seldom asked.
 const LEARN_SLOW: f64 = 0.3;
-/// It counts for more, up to that, the longer the last one is ago: one gateway of a hundred has an answer
-/// from a server every few seconds, and must not need a minute of them to see that it is slow.
+/// It counts for more, up to that, the longer the last one is ago: one of hundreds has few from each server.
 const SELDOM_MS: f64 = 3000.0;
 /// The same for what is known of all servers; the first answers count alike.
 const LEARN_ALL: f64 = 0.02;
@@ -103,7 +99,7 @@
 const RETRY_PART: f64 = 0.15;
 const RETRY_MOST: f64 = 10.0;
 /// A server that warms up is taken to do more than the least that the rules allow, by this part of what is
-/// missing to all times that least: by the least alone it looks too slow for any request until it is warm.
+/// missing times that least: by the least alone it looks too slow until it is warm.
 const LIKELY: f64 = 0.6;
 /// A cold server gets this part of what its share of capacity would allow it.
 const COLD_PART: f64 = 0.9;
@@ -405,9 +401,11 @@
                 units && (open <= 0.0 || f64::from(c.open) < open.max(1.0))
             });
         if passes {
-            let units = w.request.units * self.cfg.plans[w.request.plan].over_cost.min(1.0);
+            let plan = w.request.plan;
+            let units = w.request.units * self.cfg.plans[plan].over_cost.min(1.0);
             if self.cfg.notes && units > 0.0 {
-                self.post.unasked.entry(w.key).or_insert((w.keeper, w.request.plan, 0.0)).2 += units;
+                let told = self.post.unasked.entry(w.key).or_insert((w.keeper, plan, 0, 0.0));
+                (told.2, told.3) = (w.number, told.3 + units);
             }
             return self.admit(w);
         }
@@ -1048,8 +1046,8 @@
     fn on_note(&mut self, from: u32, text: &str) {
         let now = self.now;
         // Who hears others may be heard again: keepers are told what went on unasked, as far as it costs.
-        for (key, (keeper, plan, units)) in std::mem::take(&mut self.post.unasked) {
-            self.note(keeper, key, 0.0, Item::Unasked { plan, units });
+        for (key, (keeper, plan, number, units)) in std::mem::take(&mut self.post.unasked) {
+            self.note(keeper, key, 0.0, Item::Unasked { plan, number, units });
         }
         for (key, item) in text.split(';').filter_map(|t| Item::read(t, from, now)) {
             match item {
@@ -1060,11 +1058,12 @@
                 Item::Tell { plan, units, place } if plan < self.cfg.plans.len() => {
                     self.told(key, plan, units, place.map(|k| (from, k)));
                 }
-                Item::Unasked { plan, units } if plan < self.cfg.plans.len() => {
+                Item::Unasked { plan, number, units } if plan < self.cfg.plans.len() => {
                     self.customer(key, plan);
                     self.refill(key);
                     // What was spilt meanwhile is taken first; what goes on beyond the quota takes nothing.
-                    if let Some(c) = self.customers.get_mut(&key) {
+                    let c = self.customers.get_mut(&key);
+                    if let Some(c) = c.filter(|c| !c.recent.contains(&(from, number))) {
                         let taken = units - units.min(c.spilt);
                         c.spilt -= units - taken;
                         c.level = (c.level - taken).max(c.level.min(0.0));
--- a/src/note.rs
+++ b/src/note.rs
@@ -9,8 +9,8 @@
     Ask { plan: usize, ask: Ask, weight: f64 },
     /// To a keeper: units to charge, or below nothing to give back, and the place given back.
     Tell { plan: usize, units: f64, place: Option<u64> },
-    /// To a keeper: units that went on unasked, as nothing was heard of it.
-    Unasked { plan: usize, units: f64 },
+    /// To a keeper: units that went on unasked, as nothing was heard of it, and the last question of them.
+    Unasked { plan: usize, number: u64, units: f64 },
     /// To a keeper: this place is still in use.
     Keep { plan: usize, place: u64 },
     /// From a keeper: its word on a question, the units granted, and demand, grants and store.
@@ -37,7 +37,7 @@
                 let place = place.map_or(String::new(), |k| format!("{k:x}"));
                 format!("t,{key:x},{plan},{place},{units:.1};")
             }
-            Item::Unasked { plan, units } => format!("u,{key:x},{plan},{units:.1};"),
+            Item::Unasked { plan, number, units } => format!("u,{key:x},{plan},{number:x},{units:.1};"),
             Item::Keep { plan, place } => format!("k,{key:x},{plan},{place:x};"),
             Item::Answer { number, word, units, demand, granted, level } => {
                 let code = word as u8;
@@ -60,7 +60,7 @@
                 Item::Ask { plan: code, ask, weight: least(6)? }
             }
             "t" => Item::Tell { plan: code, units: number(4)?, place: hex(3) },
-            "u" => Item::Unasked { plan: code, units: least(3)? },
+            "u" => Item::Unasked { plan: code, number: hex(3)?, units: least(4)? },
             "k" => Item::Keep { plan: code, place: hex(3)? },
             "g" => Item::Answer {
                 number: hex(3)?,
--- a/src/state.rs
+++ b/src/state.rs
@@ -170,8 +170,8 @@
 pub(crate) struct Post {
     /// By peer: from when on what is to be told goes in a note of its own, and its text.
     pub items: BTreeMap<u32, (f64, String)>,
-    /// By customer: its keeper, its plan, and the units sent on unasked since a note last came in.
-    pub unasked: BTreeMap<u64, (u32, usize, f64)>,
+    /// By customer: its keeper and plan, the last question and the units sent on unasked since a note came in.
+    pub unasked: BTreeMap<u64, (u32, usize, u64, f64)>,
     /// The peer whose turn is next.
     pub next: u32,
     /// How many notes may go as of `left_at`.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -230,6 +230,20 @@
     assert_eq!(says(5, 1003.0), ["0 5"]);
 }
 
+#[test]
+fn what_went_on_as_the_answer_was_lost_is_charged_once() {
+    let mut cfg = settings();
+    cfg.plans[1].rate = 0.01;
+    let mut g = gateway(Settings { gateways: 3, note_intake: 1000.0, ..cfg });
+    let mut says = |note: &str| keeper_says(&mut g, 1000.0, note);
+    assert_eq!(says("a,aa,1,1,1.0,0.0,1.0,400;"), ["1 1"]);
+    assert!(says("u,aa,1,1,1.0;").is_empty());
+    assert_eq!(says("a,aa,1,2,1.0,0.0,1.0,400;"), ["1 2"]);
+    assert!(says("u,aa,1,7,1.0;").is_empty(), "this question never came");
+    assert_eq!(says("a,aa,1,3,1.0,0.0,1.0,400;"), ["1 3"], "the fourth unit of four");
+    assert_eq!(says("a,aa,1,4,1.0,0.0,1.0,400;"), ["0 4"]);
+}
+
 /// What a gateway sends on while no notes pass, and what its keeper then finds left of a store of four.
 fn after_a_partition(rate: f64) -> (usize, usize) {
     let mut cfg = settings();
@@ -447,7 +461,7 @@
         "g,1,7,1,1,1,1,1;",
         "g,ff,1,1,1e300,1,1,1;",
         "\u{1F600},1,1",
-        "u,1,99,1.0;u,1,0,-5.0;u,1,0,NaN;u,1,0",
+        "u,1,99,1,1.0;u,1,0,1,-5.0;u,1,0,1,NaN;u,1,0,x,1.0;u,1,0",
     ] {
         g.handle(1.0, Event::Note { from: 1, text: text.into() });
     }
