Notice clients that leave behind a full pipeline, after nonsense and at the end

Seen in tests over loopback sockets: a client that half-closed while its request waited in the module for a place got no end from the gatekeeper until that request's own time was up (4 s), and its request would have been sent on meanwhile, in three states: 128 commands in line, waiting for earlier answers after nonsense, and waiting for an answer once told to end. Where it reset its connection instead, the request was sent on.

At fault: clients.rs, serve() awaits input only while there is room and it is not closing, and refuse() awaits none: so nobody saw the end of the stream. Ruled out (tests pass without this change): leaving while a keeper is asked, while a connection to a worker comes up, before a further attempt.

Now the end of the stream is awaited in these states as well. The socket's readiness tells it apart from bytes that lie unread, which are left where they are, so nothing more is held in memory.

Tests: tests/node/departures.rs; without the change who_leaves_with_a_full_pipeline_is_seen_to_leave, who_resets_a_full_pipeline_is_seen_to_leave, who_leaves_after_speaking_nonsense_is_seen_to_leave and who_leaves_during_the_shutdown_is_seen_to_leave fail.

--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -12,6 +12,7 @@
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -285,6 +286,12 @@
         self.unread.set(out.bytes.len() + out.ready, KEPT);
     }
 
+    /// Waits until the client has gone, also while what it sent before lies unread: the end of a stream counts
+    /// as urgent, and nothing else is reported as that.
+    async fn left(&self) {
+        while self.stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {}
+    }
+
     /// Whether it stands between requests.
     fn idle(&self) -> bool {
         let out = self.out.borrow();
@@ -465,9 +472,11 @@
                 _ => return,
             }
         }
-        client.blocked.set(!room);
+        let reads = room && !(closing && waiting > 0);
+        client.blocked.set(!reads);
         tokio::select! {
-            ready = client.stream.readable(), if room && !(closing && waiting > 0) => {
+            () = client.left(), if !reads => return,
+            ready = client.stream.readable(), if reads => {
                 if ready.is_err() {
                     return;
                 }
@@ -549,6 +558,7 @@
     while !client.idle() && !client.out.borrow().broken {
         let unread = !client.out.borrow().bytes.is_empty();
         tokio::select! {
+            () = client.left() => return,
             _ = client.stream.writable(), if unread => client.flush(),
             () = client.wake.notified() => {}
         }
--- a/tests/node/fakes.rs
+++ b/tests/node/fakes.rs
@@ -1,7 +1,7 @@
 //! Small fakes of clients, workers and discovery, and the process under test.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -22,7 +22,10 @@
 
 impl Door {
     pub fn open() -> Door {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Door::over(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    pub fn over(listener: TcpListener) -> Door {
         let at = listener.local_addr().expect("bound");
         let (tell, came) = channel();
         thread::spawn(move || while listener.accept().is_ok_and(|(s, _)| tell.send(s).is_ok()) {});
@@ -62,6 +65,16 @@
     }
 }
 
+/// A listener whose line is full: further connections stay pending until it accepts. With it goes who fills it.
+pub fn full() -> (TcpListener, TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("listening");
+    let slow: TcpListener = socket.into();
+    let filler = TcpStream::connect(slow.local_addr().expect("bound")).expect("takes the only place");
+    (slow, filler)
+}
+
 /// Longer than a connection rests between two requests.
 pub const RESTED: Duration = Duration::from_millis(20);
 
@@ -330,3 +343,22 @@
     let node = Setup::new(discovery.at).start();
     (worker, discovery, node)
 }
+
+/// A gatekeeper of two, where it takes notes, and the other one's socket.
+pub fn one_of_two() -> (Door, Node, SocketAddr, UdpSocket) {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    peer.set_read_timeout(Some(LONG)).expect("a socket");
+    let own = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
+    let config = format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"{}","seed":"1","peer_listen":"{own}","peers":["{own}","{}"],
+        "settings":{{"Balancers":2,"Me":0,"Areas":["a"],"Kinds":["m"],"Bounds":{{"Peers":true,"TryLimit":3}},
+        "Classes":[{{"Name":"read","Target":8000.0,"Effect":"repeatable","Worth":1.0}}],
+        "Domain":{{"Largest":4,"PeerIntake":60.0}},
+        "Plans":[{{"Name":"p","UnitsPerS":10.0,"PeakUnits":10.0,"ValueFactor":1.0}}]}}}}"#,
+        discovery.at,
+        peer.local_addr().expect("bound"),
+    );
+    (worker, start(&config, "exec"), own, peer)
+}
--- a/tests/node/lists.rs
+++ b/tests/node/lists.rs
@@ -2,7 +2,6 @@
 
 use crate::fakes::*;
 use std::io::{ErrorKind, Read};
-use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -54,13 +53,8 @@
 
 #[test]
 fn a_drain_that_comes_while_connecting_stops_the_send() {
-    // A listener whose line is full: further connections stay pending until it accepts.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("listening");
-    let slow: TcpListener = socket.into();
+    let (slow, filler) = full();
     let at = slow.local_addr().expect("bound");
-    let filler = TcpStream::connect(at).expect("takes the only place");
     let other = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", at, "ready", 0)]));
     let node = Setup::new(discovery.at).start();
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! The built gatekeeper over loopback, against small fakes of clients, workers and discovery.
 
 mod clients;
+mod departures;
 mod fakes;
 mod lists;
 mod serving;
--- a/tests/node/shutdown.rs
+++ b/tests/node/shutdown.rs
@@ -35,25 +35,6 @@
     assert!(node.exit().success());
 }
 
-/// A gatekeeper of two, where it takes notes, and the other one's socket.
-fn one_of_two() -> (Node, SocketAddr, UdpSocket) {
-    let worker = Door::open();
-    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
-    peer.set_read_timeout(Some(LONG)).expect("a socket");
-    let own = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
-    let config = format!(
-        r#"{{"listen":"127.0.0.1:0","discovery":"{}","seed":"1","peer_listen":"{own}","peers":["{own}","{}"],
-        "settings":{{"Balancers":2,"Me":0,"Areas":["a"],"Kinds":["m"],"Bounds":{{"Peers":true,"TryLimit":3}},
-        "Classes":[{{"Name":"read","Target":8000.0,"Effect":"repeatable","Worth":1.0}}],
-        "Domain":{{"Largest":4,"PeerIntake":60.0}},
-        "Plans":[{{"Name":"p","UnitsPerS":10.0,"PeakUnits":10.0,"ValueFactor":1.0}}]}}}}"#,
-        discovery.at,
-        peer.local_addr().expect("bound"),
-    );
-    (start(&config, "exec"), own, peer)
-}
-
 /// Asks a keeper for a unit of a customer's store; gives the answer.
 fn question(peer: &UdpSocket, own: SocketAddr, number: u32) -> String {
     peer.send_to(format!("a,aa,0,{number:x},1.0,0.0,1.0,500;").as_bytes(), own).expect("sent");
@@ -65,7 +46,7 @@
 
 #[test]
 fn strangers_and_odd_datagrams_are_passed_over() {
-    let (_node, own, peer) = one_of_two();
+    let (_worker, _node, own, peer) = one_of_two();
     let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
     peer.send_to(&[b'a'; 300], own).expect("sent");
     peer.send_to(&[0xff; 10], own).expect("sent");
@@ -79,7 +60,7 @@
 
 #[test]
 fn who_is_told_to_end_answers_its_peers_as_long_as_it_may_and_then_ends() {
-    let (mut node, own, peer) = one_of_two();
+    let (_worker, mut node, own, peer) = one_of_two();
     let mut idle = node.client();
     idle.say(words(&["PING"]));
     assert_eq!(idle.answer(), "+PONG");
