Do not write the rest of a command whose client has left

Seen: with a connection that takes 4 KB at once and a command of 60 KB, the worker got all of it after the client had gone (the test below: 60118 bytes came and the connection stayed open).

At fault: gateway.rs left() ended only attempts that had no connection yet; one that was half written went on in its write_rest task. Now an attempt that no worker has whole is withdrawn: its connection is closed, and the module hears that it never ran.

Test: gateway::tests::the_rest_of_a_command_is_not_written_once_its_client_has_left, seen to fail without it.

--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -252,11 +252,8 @@
         if r.client.take().is_none() {
             return;
         }
-        let unsent = r.attempt.as_ref().is_some_and(|a| a.conn.is_none());
         self.event(Event::Left { id });
-        if unsent {
-            self.end(id, Ending::Moot, None);
-        }
+        self.withdraw(id);
         self.tidy(id);
     }
 
@@ -493,6 +490,20 @@
         self.end(id, if conn.written.get() { ending } else { Ending::Unreachable }, None);
     }
 
+    /// Ends an attempt that no worker has whole yet: the rest of its command is not written.
+    fn withdraw(&mut self, id: u64) {
+        let attempt = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
+        let Some(conn) = attempt.map(|a| a.conn.clone()) else { return };
+        if conn.as_ref().is_some_and(|conn| conn.written.get()) {
+            return;
+        }
+        if let Some(conn) = conn {
+            conn.busy.set(None);
+            conn.close();
+        }
+        self.end(id, Ending::Moot, None);
+    }
+
     /// The attempt has ended and nothing is known of the true units.
     fn end(&mut self, id: u64, ending: Ending, report: Option<Report>) {
         self.settle(id, ending, report, None);
@@ -616,3 +627,99 @@
         self.attempt.as_ref().is_some_and(|a| a.conn.is_some() && workers.contains(&a.server))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::clients::Clients;
+    use crate::discovery::Target;
+    use socket2::SockRef;
+    use std::net::SocketAddr;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    /// Nothing here waits this long unless it has failed.
+    const LONG: Duration = Duration::from_secs(20);
+    const ANY: &str = "127.0.0.1:0";
+
+    fn config(here: SocketAddr) -> Config {
+        let conf: Conf = serde_json::from_value(serde_json::json!({
+            "Balancers": 1,
+            "Classes": [{"Name": "pay", "Target": 8000.0, "Effect": "once", "Worth": 1.0}],
+            "Plans": [{"Name": "p", "UnitsPerS": 10.0, "PeakUnits": 10.0, "ValueFactor": 1.0}],
+        }))
+        .expect("sound settings");
+        Config {
+            name: String::new(),
+            listen: here,
+            discovery: here,
+            seed: 1,
+            sockets: 64,
+            memory: 32 << 20,
+            peer_listen: None,
+            peers: Vec::new(),
+            known: None,
+            settings: conf.settings(),
+            conf,
+        }
+    }
+
+    /// A gateway that knows one worker, with a connection to it that takes little at once, and the worker's end.
+    async fn narrow(listener: &TcpListener) -> (Shared, TcpStream) {
+        SockRef::from(listener).set_recv_buffer_size(4096).expect("a socket");
+        let at = listener.local_addr().expect("bound");
+        let gateway = Gateway::new(config(at), None, 8).expect("sound settings");
+        let worker = Target {
+            uid: "s-1".into(),
+            endpoint: at,
+            zone: String::new(),
+            model: String::new(),
+            cell: 0,
+            health: Health::Up,
+            size: 1.0,
+            boot_ms: 0.0,
+        };
+        gateway.borrow_mut().listed(Listed { rev: 1, all: true, targets: vec![worker] });
+        let stream = TcpStream::connect(at).await.expect("connected");
+        SockRef::from(&stream).set_send_buffer_size(4096).expect("a socket");
+        let (far, _) = listener.accept().await.expect("connected");
+        let mut g = gateway.borrow_mut();
+        let (place, reading) = (g.workers.place().expect("room"), g.workers.reading());
+        let conn = Conn::new(stream, "s-1".into(), 0, place, reading);
+        conn.listen(gateway.clone());
+        // It has rested for long.
+        g.workers.keep(&conn, 0.0);
+        drop(g);
+        (gateway, far)
+    }
+
+    #[test]
+    fn the_rest_of_a_command_is_not_written_once_its_client_has_left() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let workers = TcpListener::bind(ANY).await.expect("a port");
+            let (gateway, mut far) = narrow(&workers).await;
+            let door = TcpListener::bind(ANY).await.expect("a port");
+            let at = door.local_addr().expect("bound");
+            let clients = Clients::new(8, 1 << 20);
+            let accepting = clients.clone();
+            tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
+            let mut client = TcpStream::connect(at).await.expect("connected");
+            let fields = "c=pay,t=p,d=8000,units=1,spread=1,first=0";
+            let mut command = b"*5\r\n$4\r\nQ.DO\r\n$16\r\n00000000b4d65521\r\n$16\r\n".to_vec();
+            command.extend_from_slice(
+                format!("9b1f03aa5c7e2d41\r\n${}\r\n{fields}\r\n", fields.len()).as_bytes(),
+            );
+            resp::put_bulk(&mut command, &[b'x'; 60_000]);
+            client.write_all(&command).await.expect("written");
+            far.readable().await.expect("the command has begun");
+            drop(client);
+            timeout(LONG, clients.one_left()).await.expect("its end is seen");
+            let mut came = Vec::new();
+            let ended = timeout(LONG, far.read_to_end(&mut came)).await;
+            assert!(ended.is_ok(), "the connection stays open, {} bytes came", came.len());
+            assert!(resp::command(&came).is_ok_and(|whole| whole.is_none()), "it came whole");
+        });
+    }
+}
