Close no client over a request that has come but has not been seen, or has come in part

Seen in tests that force the order inside the process: a request written just before its idle connection is closed, at shutdown or to make room, was never read; the client got a reset in place of an answer.

At fault: clients.rs serve() asked try_read_buf, which goes by what the runtime has seen and says WouldBlock for bytes that its last poll has not shown; and it looked at the answers in hand alone, not at the command half here. refuse() over a command that is late in the same way.

Now the socket itself is asked (as for pooled connections to workers), and at the end a command that has begun is waited for as long as always (SPEAK). To make room under a flood half commands still give way at once. The two ways to be closed are states of one field in place of a flag.

Tests: src/bin/frostvale/crossings.rs, both seen to fail without the change.

--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::ops::Range;
 use std::rc::Rc;
@@ -169,6 +170,17 @@
     Ready(Vec<u8>),
 }
 
+/// When a connection is to be closed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Close {
+    /// Not yet.
+    Never,
+    /// As soon as nothing is in hand.
+    BetweenRequests,
+    /// The same, and no command of which a part is here.
+    BetweenCommands,
+}
+
 #[derive(Default)]
 struct Out {
     slots: VecDeque<Slot>,
@@ -188,8 +200,7 @@
     wake: Notify,
     /// Whether its task waits for an answer to be given, rather than for input.
     blocked: Cell<bool>,
-    /// To be closed as soon as nothing is in hand.
-    closing: Cell<bool>,
+    close: Cell<Close>,
     /// When the last answer was given or command came, and whether there ever was a command.
     used: Cell<Instant>,
     spoke: Cell<bool>,
@@ -198,7 +209,7 @@
     /// Its time to speak is up.
     overdue: Cell<bool>,
     reading: Share,
-    unread: Share,
+    held: Share,
 }
 
 impl Client {
@@ -266,8 +277,8 @@
     fn check(&self, out: &mut Out) {
         // Who sends and never reads must not fill the memory.
         let unread = out.bytes.len() + out.ready;
-        out.broken |= !self.unread.set(unread, KEPT) || unread > UNREAD_MOST;
-        if out.broken || !out.bytes.is_empty() || self.blocked.get() || self.closing.get() {
+        out.broken |= !self.held.set(unread, KEPT) || unread > UNREAD_MOST;
+        if out.broken || !out.bytes.is_empty() || self.blocked.get() || self.close.get() != Close::Never {
             self.wake.notify_one();
         }
     }
@@ -283,7 +294,7 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
             Err(_) => out.broken = true,
         }
-        self.unread.set(out.bytes.len() + out.ready, KEPT);
+        self.held.set(out.bytes.len() + out.ready, KEPT);
     }
 
     /// Waits until the client has gone, also while what it sent before lies unread: the end of a stream counts
@@ -312,16 +323,32 @@
                 self.wake.notify_one();
             } else if self.half.get().is_none() && past(self.used.get(), idle) {
                 drop(out);
-                self.close_soon();
+                self.close_soon(Close::BetweenRequests);
             }
         }
     }
 
-    /// Has it closed once nothing is in hand.
-    fn close_soon(&self) {
-        self.closing.set(true);
+    fn close_soon(&self, when: Close) {
+        self.close.set(when);
         self.wake.notify_one();
     }
+
+    /// Whether bytes have come that are not read. The runtime may not have seen that yet, so the socket itself
+    /// is asked.
+    fn unread(&self) -> bool {
+        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|n| n > 0)
+    }
+
+    /// Whether it is to be closed now.
+    fn done(&self) -> bool {
+        let done = match self.close.get() {
+            Close::Never => false,
+            Close::BetweenRequests => self.idle(),
+            Close::BetweenCommands => self.idle() && self.half.get().is_none(),
+        };
+        // A request that is here already is served; closing over it would also wipe out the last answer.
+        done && !self.unread()
+    }
 }
 
 /// All clients' connections.
@@ -329,6 +356,8 @@
     all: RefCell<HashMap<u64, Rc<Client>>>,
     most: usize,
     left: Notify,
+    /// Told to end.
+    ending: Cell<bool>,
     reading: Budget,
     unread: Budget,
 }
@@ -338,7 +367,14 @@
     /// what of answers they do not take.
     pub fn new(most: usize, memory: usize) -> Rc<Clients> {
         let (reading, unread) = (Budget::new(memory), Budget::new(memory));
-        Rc::new(Clients { all: RefCell::default(), most, left: Notify::new(), reading, unread })
+        Rc::new(Clients {
+            all: RefCell::default(),
+            most,
+            left: Notify::new(),
+            ending: Cell::new(false),
+            reading,
+            unread,
+        })
     }
 
     /// The task that ends connections whose time is up.
@@ -361,9 +397,10 @@
         self.left.notified().await;
     }
 
-    /// Has all connections closed, each as soon as it has nothing in hand.
+    /// Has all connections closed, each as soon as it has nothing in hand, and those that still come as well.
     pub fn close_soon(&self) {
-        self.all.borrow().values().for_each(|c| c.close_soon());
+        self.ending.set(true);
+        self.all.borrow().values().for_each(|c| c.close_soon(Close::BetweenCommands));
     }
 
     /// Has the connection closed that has been between requests the longest: one that never spoke where those
@@ -371,9 +408,9 @@
     fn evict(&self) {
         let all = self.all.borrow();
         let flood = all.values().filter(|c| !c.spoke.get()).count() > self.most / 2;
-        let idle = all.values().filter(|c| !c.closing.get() && c.idle());
+        let idle = all.values().filter(|c| c.close.get() == Close::Never && c.idle());
         if let Some(client) = idle.min_by_key(|c| (flood && c.spoke.get(), c.used.get())) {
-            client.close_soon();
+            client.close_soon(Close::BetweenRequests);
         }
     }
 
@@ -411,13 +448,13 @@
             out: RefCell::default(),
             wake: Notify::new(),
             blocked: Cell::new(false),
-            closing: Cell::new(false),
+            close: Cell::new(if self.ending.get() { Close::BetweenCommands } else { Close::Never }),
             used: Cell::new(Instant::now()),
             spoke: Cell::new(false),
             half: Cell::new(None),
             overdue: Cell::new(false),
             reading: self.reading.share(),
-            unread: self.unread.share(),
+            held: self.unread.share(),
         });
         let number = gateway.borrow_mut().next_id();
         self.all.borrow_mut().insert(number, client.clone());
@@ -461,18 +498,13 @@
         if !client.reading.set(bytes.capacity(), KEPT) {
             return refuse(client, &Broken("no room for so long a command now")).await;
         }
-        if client.overdue.get() && client.idle() {
+        if client.overdue.get() && client.idle() && !client.unread() {
             return refuse(client, &Broken("no whole command in time")).await;
         }
-        let closing = client.closing.get();
-        if closing && client.idle() {
-            // A request that is here already is served; closing over it would also wipe out the last answer.
-            match client.stream.try_read_buf(&mut bytes) {
-                Ok(n) if n > 0 => continue,
-                _ => return,
-            }
+        if client.done() {
+            return;
         }
-        let reads = room && !(closing && waiting > 0);
+        let reads = room && (client.close.get() == Close::Never || waiting == 0);
         client.blocked.set(!reads);
         tokio::select! {
             () = client.left(), if !reads => return,
@@ -517,6 +549,7 @@
     }
     if at > 0 {
         client.half.set(None);
+        client.overdue.set(false);
         client.spoke.set(true);
         client.used.set(Instant::now());
     }
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -632,38 +632,11 @@
 mod tests {
     use super::*;
     use crate::clients::Clients;
+    use crate::crossings::{ANY, LONG, config, play};
     use crate::discovery::Target;
     use socket2::SockRef;
-    use std::net::SocketAddr;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
-    use tokio::task::LocalSet;
-
-    /// Nothing here waits this long unless it has failed.
-    const LONG: Duration = Duration::from_secs(20);
-    const ANY: &str = "127.0.0.1:0";
-
-    fn config(here: SocketAddr) -> Config {
-        let conf: Conf = serde_json::from_value(serde_json::json!({
-            "Balancers": 1,
-            "Classes": [{"Name": "pay", "Target": 8000.0, "Effect": "once", "Worth": 1.0}],
-            "Plans": [{"Name": "p", "UnitsPerS": 10.0, "PeakUnits": 10.0, "ValueFactor": 1.0}],
-        }))
-        .expect("sound settings");
-        Config {
-            name: String::new(),
-            listen: here,
-            discovery: here,
-            seed: 1,
-            sockets: 64,
-            memory: 32 << 20,
-            peer_listen: None,
-            peers: Vec::new(),
-            known: None,
-            settings: conf.settings(),
-            conf,
-        }
-    }
 
     /// A gateway that knows one worker, with a connection to it that takes little at once, and the worker's end.
     async fn narrow(listener: &TcpListener) -> (Shared, TcpStream) {
@@ -696,8 +669,7 @@
 
     #[test]
     fn the_rest_of_a_command_is_not_written_once_its_client_has_left() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        LocalSet::new().block_on(&runtime, async {
+        play(async {
             let workers = TcpListener::bind(ANY).await.expect("a port");
             let (gateway, mut far) = narrow(&workers).await;
             let door = TcpListener::bind(ANY).await.expect("a port");
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -5,6 +5,8 @@
 mod budget;
 mod clients;
 mod config;
+#[cfg(test)]
+mod crossings;
 mod discovery;
 mod gateway;
 mod peers;
