Answer all that is taken before the kill that may follow SIGTERM

Seen in tests over loopback sockets, once told to end: a request that came behind another on a kept connection was sent on with its whole time of a minute, as one in hand was left to its own; SIGKILL may come 3.7 s after SIGTERM and finds both unanswered (the one that came more than 0.7 s after SIGTERM counts as lost).

At fault: main.rs never told the gateway when it would be killed, and dropped the listener with its line. Ruled out: SIGTERM beside SIGHUP, twice, and while the first list is awaited (a signal waits in its stream).

Now the gateway is told the time left. What comes later than that is turned away at once, what is taken gets the rest of the time at most, which its worker is told too, and what is still in hand then is failed (its attempt withdrawn if no worker has it whole). The listener is asked itself until its line is empty, as far as there is room, before it is closed.

Tests: tests/node/shutdown.rs, whom_the_kernel_has_let_in_is_answered_also_where_there_was_no_room and what_outlasts_the_kill_that_may_follow_is_answered_before_it, seen to fail without the change.

--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -440,6 +440,29 @@
         }
     }
 
+    /// Takes in whom the kernel has let in already, each as soon as there is room, and closes the listener once
+    /// nobody is left: they would be reset with it, and what they have sent counts as taken.
+    pub async fn accept_rest(self: Rc<Self>, listener: TcpListener, gateway: &Shared) {
+        // The runtime may not have seen the last of them yet, so the socket itself is asked.
+        let Ok(listener) = listener.into_std() else { return };
+        loop {
+            if self.all.borrow().len() < self.most {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                        if let Ok(stream) = stream {
+                            self.admit(stream, gateway);
+                        }
+                        continue;
+                    }
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                    Err(_) => {}
+                }
+            }
+            let _ = timeout(FULL, self.one_left()).await;
+        }
+    }
+
     fn admit(self: &Rc<Self>, stream: TcpStream, gateway: &Shared) {
         // Small answers must not wait for acknowledgements; a socket that fails here fails at its first read.
         let _ = stream.set_nodelay(true);
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -96,6 +96,8 @@
     last_id: u64,
     held: usize,
     held_most: usize,
+    /// By when all has to be answered, once it is told to end: what is left then is lost with the process.
+    ends: f64,
     /// The clients' ids of the requests in hand.
     open: HashSet<u64>,
     workers: Workers,
@@ -129,6 +131,7 @@
                 last_id: 0,
                 held: 0,
                 held_most: memory,
+                ends: f64::INFINITY,
                 open: HashSet::new(),
                 workers: Workers::new(connections, memory),
                 peers,
@@ -156,6 +159,13 @@
         self.requests.values().all(|r| r.client.is_none())
     }
 
+    /// It is killed after this time: what is in hand, and what still comes, is answered before.
+    pub fn end_within(&mut self, most: Duration) {
+        self.ends = self.now() + most.as_secs_f64() * 1000.0;
+        let in_hand: Vec<u64> = self.requests.keys().copied().collect();
+        in_hand.into_iter().for_each(|id| self.at(self.ends, Due::Answer(id)));
+    }
+
     // ---- what happens outside ----
 
     /// News of the workers.
@@ -220,14 +230,15 @@
     }
 
     /// Whether one more request of this size can be held. Past it requests are turned away unseen, as the
-    /// settings' most open requests demand and the memory does.
+    /// settings' most open requests demand, the memory does, and the end that is near.
     pub fn has_room(&self, bytes: usize) -> bool {
-        self.requests.len() < self.conf.bounds.max_open && self.held + bytes <= self.held_most
+        let time = self.now() < self.ends;
+        time && self.requests.len() < self.conf.bounds.max_open && self.held + bytes <= self.held_most
     }
 
     /// A request came in whole.
     pub fn request(&mut self, id: u64, ask: Ask, client: Rc<Client>) {
-        let give_up = self.now() + ask.wait - MARGIN_MS;
+        let give_up = (self.now() + ask.wait - MARGIN_MS).min(self.ends);
         let request = Request {
             id,
             customer: ask.customer.clone(),
@@ -591,12 +602,14 @@
                 Due::Timer(token) => self.event(Event::Timer { token }),
                 Due::Attempt(id, _) => self.give_up(id, Ending::Timeout),
                 Due::Answer(id) => {
-                    eprintln!("frostvale: a request was not settled in time");
-                    if let Some(client) = self.requests.get_mut(&id).and_then(|r| r.client.take()) {
+                    if self.now() < self.ends {
+                        eprintln!("frostvale: a request was not settled in time");
+                    }
+                    let client = self.requests.get(&id).and_then(|r| r.client.clone());
+                    self.left(id);
+                    if let Some(client) = client {
                         client.answer(id, b"-ERR failed\r\n");
                     }
-                    self.event(Event::Left { id });
-                    self.tidy(id);
                 }
                 Due::Sweep => self.sweep(),
             }
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -25,7 +25,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// How long discovery may be silent at the start before the known list has to do.
 const FIRST_LIST: Duration = Duration::from_secs(1);
@@ -33,8 +33,9 @@
 const DISCOVERY_LOTS: u64 = 0x9e37_79b9_7f4a_7c15;
 /// New connections go on coming for up to 0.4 s after SIGTERM.
 const FAREWELL: Duration = Duration::from_millis(500);
-/// The part of the time before a kill for which one that was told to end goes on answering its peers.
-const KEEPING_PART: f64 = 0.9;
+/// The part of the time before a kill after which one that was told to end has answered its clients, and up to
+/// which it goes on answering its peers.
+const ENDING_PART: f64 = 0.9;
 /// The parts of the descriptors, in hundredths, that clients and workers may hold: the rest is for the
 /// listener, discovery, notes and what is about to be closed. Clients hold a third at most for requests, and one
 /// at its own limit can't open a connection before an idle one of its is closed: so room is made from there on.
@@ -114,10 +115,13 @@
         _ = int.recv() => {}
     }
     eprintln!("frostvale: {name} stops");
-    let stopped = Instant::now();
+    let most = gateway.borrow().conf.grace().mul_f64(ENDING_PART);
+    let ends = Instant::now() + most;
+    gateway.borrow_mut().end_within(most);
     let _ = timeout(FAREWELL, clients.clone().accept(&listener, gateway.clone())).await;
-    drop(listener);
+    eprintln!("frostvale: {name} lets nobody new in");
     clients.close_soon();
+    let _ = timeout_at(ends, clients.clone().accept_rest(listener, &gateway)).await;
     while !clients.is_empty() {
         clients.one_left().await;
     }
@@ -128,9 +132,8 @@
     // Its peers go on asking for the stores that are kept here, of which its next life knows nothing. Who
     // tells it to end once more won't wait for that.
     if keeps {
-        let until = stopped + gateway.borrow().conf.grace().mul_f64(KEEPING_PART);
         tokio::select! {
-            () = sleep_until(until) => {}
+            () = sleep_until(ends) => {}
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
--- a/tests/node/shutdown.rs
+++ b/tests/node/shutdown.rs
@@ -72,3 +72,61 @@
     }
     assert!(node.exit().success(), "before it is killed");
 }
+
+#[test]
+fn whom_the_kernel_has_let_in_is_answered_also_where_there_was_no_room() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let mut node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    // As many as have room, each with a request in hand, so that none of them can make any.
+    let mut busy: Vec<(Line, Line)> = Vec::new();
+    for _ in 0..21 {
+        let mut client = node.client();
+        client.say(ask(9000));
+        let mut out = worker.next();
+        out.command();
+        busy.push((client, out));
+    }
+    let mut waits = node.client();
+    waits.say(words(&["PING"]));
+    node.signal("-TERM");
+    node.says(" lets nobody new in");
+    for (client, out) in &mut busy {
+        out.serve("busy");
+        assert_eq!(client.answer(), "busy");
+    }
+    assert_eq!(waits.answer(), "+PONG");
+    assert!(waits.ended());
+    assert!(node.exit().success());
+}
+
+#[test]
+fn what_outlasts_the_kill_that_may_follow_is_answered_before_it() {
+    let worker = Door::open();
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let config = Setup::new(discovery.at).config().replace(r#""Deadline":9000.0"#, r#""Deadline":60000.0"#);
+    let mut node = start(&config, "exec");
+    let (mut busy, mut other, mut idle) = (node.client(), node.client(), node.client());
+    busy.say(ask(60_000));
+    let mut hangs = worker.next();
+    hangs.command();
+    other.say(ask(60_000));
+    let mut out = worker.next();
+    out.command();
+    idle.say(words(&["PING"]));
+    assert_eq!(idle.answer(), "+PONG");
+    node.signal("-TERM");
+    assert!(idle.ended());
+    // Behind one that is in hand; it hangs as well.
+    other.say(ask(60_000));
+    out.serve("in time");
+    assert_eq!(other.answer(), "in time");
+    let mut again = worker.within(&mut out, LONG).unwrap_or(out);
+    let command = again.command();
+    let (_, wait) = command[3].split_once(",d=").expect("d");
+    let wait: u32 = wait.split(',').next().and_then(|d| d.parse().ok()).expect("a number");
+    assert!(wait < 3700, "its worker is told so: {wait}");
+    assert!(busy.answer().starts_with("-"), "far ahead of its own time");
+    assert!(other.answer().starts_with("-"), "far ahead of its own time");
+    assert!(node.exit().success());
+}
