Open a silent or endless watch anew in time, and read watches that are indented

Seen, with the clock of the test paused: after a watch's last word the second of two calls that hang ends 7.3 s later (5 s of silence and 1 s for a call, with the waits between), and 16 s later where they hang after they connected (5 s for the head of an answer). A watch that sends pieces of a line that never ends was alive for good. An object on several lines was taken for nonsense line by line, and the watch opened over and over.

At fault: discovery.rs, QUIET of two missing lines and a half, within(QUIET) for heads, a time-out for each piece. Now one line that is late by half ends a watch (3 s), the time runs from line to line, and values are read whichever lines they stand on; an empty line inside one means that it broke off.

Ruled out: a reset just before a drain (opened anew within 0.15 s with the version at hand), changes between list and watch (the watch builds on the list's version), a line cut by the end of the stream (never applied), SIGHUP in the middle of a list (the session is dropped whole).

Tests: crossings.rs a_silent_watch_leaves_time_for_two_calls_that_hang_as_well and pieces_of_a_line_that_never_ends_do_not_keep_a_watch_alive, discovery::tests, all seen to fail without the change.

--- a/src/bin/frostvale/backoff.rs
+++ b/src/bin/frostvale/backoff.rs
@@ -16,6 +16,10 @@
 /// The first calls, when many may have started at one stroke, lie so far apart on average: a release of 70 in
 /// 100 then gets through within the service's patience (at 15 ms a third failed and came again seconds later).
 const FIRST_APART: Duration = Duration::from_millis(30);
+/// How long a call waits for the beginning of its answer: an agent has it at hand, and one that hangs must leave
+/// time for another; a service that all share answers in turn.
+const AGENT: Duration = Duration::from_secs(1);
+const SERVICE: Duration = Duration::from_secs(3);
 /// The part of the time after which the list counts as told that the first call may take of it.
 const ASK_PART: u32 = 3;
 /// The part of the time in which a drain must be kept that the mean wait for the agent may take of it.
@@ -31,25 +35,26 @@
     least: Duration,
     most: Duration,
     mean: Duration,
+    patience: Duration,
 }
 
 impl Backoff {
     pub fn new(conf: &Conf, seed: u64) -> Backoff {
         let time = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 60_000.0) / 1000.0);
         let gateways = conf.gateways().max(1);
-        let (first, least, most) = match conf.discovery {
+        let (first, least, most, patience) = match conf.discovery {
             Discovery::Automatic => {
                 let most = MOST.min(time(conf.rules.drain_grace) / GRACE_PART);
-                (Duration::ZERO, LEAST.min(most), most)
+                (Duration::ZERO, LEAST.min(most), most, AGENT)
             }
             Discovery::Subscribe => {
                 let told = time(conf.rules.must_ask_in);
                 let first = (FIRST_APART * (gateways - 1)).min(told / ASK_PART);
                 let most = MOST.max(APART * gateways).min(told);
-                (first, LEAST.max(APART * gateways / 10).min(most), most)
+                (first, LEAST.max(APART * gateways / 10).min(most), most, SERVICE)
             }
         };
-        Backoff { rng: Pcg64Mcg::seed_from_u64(seed), first, least, most, mean: least }
+        Backoff { rng: Pcg64Mcg::seed_from_u64(seed), first, least, most, mean: least, patience }
     }
 
     /// How long to wait before the first call of a process.
@@ -57,6 +62,11 @@
         self.first.mul_f64(self.rng.random())
     }
 
+    /// How long a call waits for the beginning of its answer.
+    pub fn patience(&self) -> Duration {
+        self.patience
+    }
+
     /// Discovery has answered.
     pub fn reset(&mut self) {
         self.mean = self.least;
--- a/src/bin/frostvale/crossings.rs
+++ b/src/bin/frostvale/crossings.rs
@@ -1,7 +1,9 @@
 //! Tests of events that cross, where the order has to be forced inside the process.
 
+use crate::backoff::Backoff;
 use crate::clients::Clients;
 use crate::config::Config;
+use crate::discovery;
 use crate::gateway::Gateway;
 use frostvale::Conf;
 use std::io::Write;
@@ -10,8 +12,9 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Nothing here waits this long unless it has failed.
 pub const LONG: Duration = Duration::from_secs(20);
@@ -99,3 +102,62 @@
         assert_eq!(rest(&mut client).await, "+PONG\r\n");
     });
 }
+
+/// A gatekeeper follows this discovery, whose first watch has been given its first line.
+async fn followed() -> (TcpListener, TcpStream, watch::Sender<SocketAddr>) {
+    const LIST: &str = r#"{"rev":1,"all":true,"targets":[]}"#;
+    tokio::time::pause();
+    let listener = TcpListener::bind(ANY).await.expect("a port");
+    let at = listener.local_addr().expect("bound");
+    let config = config(at);
+    let backoff = Backoff::new(&config.conf, 7);
+    let gateway = Gateway::new(config, None, 8).expect("sound settings");
+    let (moved, at) = watch::channel(at);
+    spawn_local(discovery::follow(gateway, at, None, backoff));
+    let (mut stream, _) = listener.accept().await.expect("a call");
+    stream.set_nodelay(true).expect("a socket");
+    let mut asked = [0; 1024];
+    assert!(stream.read(&mut asked).await.is_ok_and(|n| n > 0));
+    let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{LIST}", LIST.len());
+    stream.write_all(whole.as_bytes()).await.expect("written");
+    assert!(stream.read(&mut asked).await.is_ok_and(|n| n > 0));
+    let chunk = format!("{:x}\r\n{LIST}\n\r\n", LIST.len() + 1);
+    let line = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}");
+    stream.write_all(line.as_bytes()).await.expect("written");
+    (listener, stream, moved)
+}
+
+#[test]
+fn a_silent_watch_leaves_time_for_two_calls_that_hang_as_well() {
+    play(async {
+        let (listener, _stream, _moved) = followed().await;
+        let heard = Instant::now();
+        let mut calls = Vec::new();
+        for _ in 0..3 {
+            calls.push(listener.accept().await.expect("a call"));
+        }
+        // What it misses counts as told after 6 s, and a drain must be kept half a second later.
+        let passed = heard.elapsed();
+        assert!(passed < Duration::from_millis(6500), "{passed:?} after its last word");
+    });
+}
+
+#[test]
+fn pieces_of_a_line_that_never_ends_do_not_keep_a_watch_alive() {
+    play(async {
+        let (listener, mut stream, _moved) = followed().await;
+        let endless = async move {
+            while stream.write_all(b"1\r\n \r\n").await.is_ok() {
+                sleep(Duration::from_millis(500)).await;
+            }
+            std::future::pending().await
+        };
+        let again = async {
+            timeout(LONG, listener.accept()).await.expect("it is opened anew").expect("a call");
+        };
+        tokio::select! {
+            () = again => {}
+            () = endless => {}
+        }
+    });
+}
--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -3,7 +3,7 @@
 use crate::backoff::Backoff;
 use crate::gateway::Shared;
 use frostvale::Health;
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response, StatusCode};
@@ -14,12 +14,13 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// A machine that is cut off says nothing: no connection or list within this time is a failure.
+/// A machine that is cut off says nothing: no connection within this time is a failure.
 const CALL: Duration = Duration::from_secs(1);
-/// An empty line comes every 2 s. After two that are missing the watch is dead, whatever TCP thinks.
-const QUIET: Duration = Duration::from_secs(5);
+/// An empty line comes every 2 s. Once one is late by half of that the watch is dead, whatever TCP thinks. What
+/// it misses counts as told 6 s after its last word: that leaves time for two calls that hang as well.
+const QUIET: Duration = Duration::from_secs(3);
 /// The longest line or list that is read: an endless one must not fill the memory.
 const LIST_MOST: usize = 4 << 20;
 
@@ -104,7 +105,7 @@
     backoff.reset();
     loop {
         let mut heard = false;
-        let ended = session(gateway, address, &mut rev, &mut heard).await;
+        let ended = session(gateway, address, &mut rev, &mut heard, backoff.patience()).await;
         if heard {
             backoff.reset();
             complained = false;
@@ -125,6 +126,7 @@
     address: SocketAddr,
     rev: &mut Option<u64>,
     heard: &mut bool,
+    patience: Duration,
 ) -> Result<(), String> {
     let stream = within(CALL, "connecting", TcpStream::connect(address)).await?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
@@ -135,7 +137,50 @@
         // How it ended shows in the call that waits on it.
         let _ = connection.await;
     });
-    listen(gateway, &mut call, address, rev, heard).await
+    listen(gateway, &mut call, address, rev, heard, patience).await
+}
+
+/// What a watch has said of a list that is not whole yet.
+#[derive(Default)]
+struct Half(Vec<u8>);
+
+impl Half {
+    /// Takes in a piece of a line, or a whole one. Gives what is whole with it: a list, which may stand on
+    /// several lines, or the empty line that only says that the watch lives.
+    fn piece(&mut self, piece: &[u8]) -> Result<Option<Whole>, String> {
+        let first = !self.0.contains(&b'\n');
+        self.0.extend_from_slice(piece);
+        if self.0.len() > LIST_MOST {
+            return Err("a line is too long".into());
+        }
+        if !piece.ends_with(b"\n") {
+            return Ok(None);
+        }
+        let text = self.0.trim_ascii();
+        if text.is_empty() {
+            self.0.clear();
+            return Ok(Some(Whole::Nothing));
+        }
+        let line = self.0[..self.0.len() - 1].rsplit(|b| *b == b'\n').next().unwrap_or_default();
+        let empty = line.trim_ascii().is_empty();
+        // Only a brace can end a list: it is not read anew for every line of it.
+        if !first && !empty && !text.ends_with(b"}") {
+            return Ok(None);
+        }
+        match serde_json::from_slice(text) {
+            Ok(value) => {
+                self.0.clear();
+                Ok(Some(Whole::List(listed(&value).ok_or("a line is no list")?)))
+            }
+            Err(e) if e.is_eof() && !empty => Ok(None),
+            Err(e) => Err(format!("a line is no JSON: {e}")),
+        }
+    }
+}
+
+enum Whole {
+    Nothing,
+    List(Listed),
 }
 
 async fn listen(
@@ -144,42 +189,32 @@
     address: SocketAddr,
     rev: &mut Option<u64>,
     heard: &mut bool,
+    patience: Duration,
 ) -> Result<(), String> {
-    let mut take = |text: &[u8], rev: &mut Option<u64>| {
-        let value = serde_json::from_slice(text).map_err(|e| format!("a line is no JSON: {e}"))?;
-        let list = listed(&value).ok_or("a line is no list")?;
+    let mut take = |list: Listed, rev: &mut Option<u64>| {
         *rev = Some(list.rev);
         *heard = true;
         gateway.borrow_mut().listed(list);
-        Ok::<(), String>(())
     };
     if rev.is_none() {
-        let mut body = get(call, address, "/v1/servers").await?.into_body();
-        let mut text = Vec::new();
-        while let Some(frame) = timeout(CALL, body.frame()).await.map_err(|_| "the list is silent")? {
-            text.extend_from_slice(&frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default());
-            if text.len() > LIST_MOST {
-                return Err("the list is too long".into());
-            }
-        }
-        take(&text, rev)?;
+        let body = get(call, address, "/v1/servers", patience).await?.into_body();
+        let text = within(QUIET, "the list", Limited::new(body, LIST_MOST).collect()).await?.to_bytes();
+        let value = serde_json::from_slice(&text).map_err(|e| format!("the list is no JSON: {e}"))?;
+        take(listed(&value).ok_or("the list is none")?, rev);
         within(CALL, "the list", call.ready()).await?;
     }
     let path = format!("/v1/servers?stream=1&index={}", rev.unwrap_or(0));
-    let mut body = get(call, address, &path).await?.into_body();
-    let mut text: Vec<u8> = Vec::new();
-    while let Some(frame) = timeout(QUIET, body.frame()).await.map_err(|_| "the watch is silent")? {
+    let mut body = get(call, address, &path, patience).await?.into_body();
+    let mut half = Half::default();
+    // Pieces of a line that never ends are no sign of life.
+    let mut silent_at = Instant::now() + QUIET;
+    while let Some(frame) = timeout_at(silent_at, body.frame()).await.map_err(|_| "the watch is silent")? {
         let data = frame.map_err(|e| e.to_string())?.into_data().unwrap_or_default();
         for piece in data.split_inclusive(|b| *b == b'\n') {
-            text.extend_from_slice(piece);
-            if text.len() > LIST_MOST {
-                return Err("a line is too long".into());
-            }
-            if piece.ends_with(b"\n") {
-                if !text.trim_ascii().is_empty() {
-                    take(&text, rev)?;
-                }
-                text.clear();
+            let Some(whole) = half.piece(piece)? else { continue };
+            silent_at = Instant::now() + QUIET;
+            if let Whole::List(list) = whole {
+                take(list, rev);
             }
         }
     }
@@ -190,10 +225,11 @@
     call: &mut SendRequest<Empty<Bytes>>,
     address: SocketAddr,
     path: &str,
+    patience: Duration,
 ) -> Result<Response<Incoming>, String> {
     let request = Request::get(path).header("host", address.to_string()).body(Empty::new());
     let request = request.map_err(|e| e.to_string())?;
-    let answer = within(QUIET, path, call.send_request(request)).await?;
+    let answer = within(patience, path, call.send_request(request)).await?;
     if answer.status() == StatusCode::OK { Ok(answer) } else { Err(format!("{path}: {}", answer.status())) }
 }
 
@@ -207,3 +243,52 @@
         Err(_) => Err(format!("{what}: no answer in time")),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What the pieces make whole: how many workers are listed, and how many empty lines there are.
+    fn read(pieces: &[&str]) -> Result<(usize, usize), String> {
+        let (mut half, mut workers, mut empty) = (Half::default(), 0, 0);
+        for piece in pieces.iter().flat_map(|p| p.as_bytes().split_inclusive(|b| *b == b'\n')) {
+            match half.piece(piece)? {
+                Some(Whole::List(list)) => workers += list.targets.len(),
+                Some(Whole::Nothing) => empty += 1,
+                None => {}
+            }
+        }
+        Ok((workers, empty))
+    }
+
+    const INDENTED: &str = r#"{
+  "rev": 43,
+  "targets": [
+    {
+      "uid": "s-1", "endpoint": "127.0.0.1:1", "pod_group": 0, "state": "ready"
+    }
+  ]
+}
+"#;
+
+    #[test]
+    fn a_watch_may_be_indented_and_come_in_any_pieces() {
+        let flat = INDENTED.replace(['\n', ' '], "") + "\n";
+        assert_eq!(read(&[&flat, "\n", &flat]), Ok((2, 1)));
+        assert_eq!(read(&["\n", INDENTED, "\r\n", INDENTED, "\n"]), Ok((2, 3)));
+        for cut in 1..INDENTED.len() {
+            let (head, tail) = INDENTED.split_at(cut);
+            assert_eq!(read(&[head, tail, &flat, "\n"]), Ok((2, 1)), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn a_list_that_breaks_off_is_no_list() {
+        for cut in 1..INDENTED.trim_end().len() {
+            let head = INDENTED.split_at(cut).0;
+            assert!(read(&[head, "\n\n"]).is_err(), "cut at {cut}, then a sign of life");
+        }
+        assert!(read(&["{nonsense\n"]).is_err());
+        assert!(read(&["7\n"]).is_err());
+    }
+}
