Keep the cell of a worker that is gone, and take in its end however little is told

Seen over loopback sockets: a request that may be repeated in its cell only was out at a worker of cell 3 when a new worker came up at that one's address; its connection broke, and the request was sent on once more, in cell 0, where it runs a second time. And a line of a change that says no more than that a worker is gone was dropped, so that it went on getting work.

At fault: gateway.rs makes a line up for a worker whose address has a new owner, with cell and zone 0, and control.rs on_servers() took them for the worker's new place; discovery.rs target() wanted a cell and an address of every line.

Tests: tests/node/lists.rs, a_worker_whose_address_has_a_new_owner_stays_in_its_cell and a_worker_that_is_gone_need_not_be_described, seen to fail without the change.

--- a/src/bin/frostvale/discovery.rs
+++ b/src/bin/frostvale/discovery.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -24,6 +24,9 @@
 /// The longest line or list that is read: an endless one must not fill the memory.
 const LIST_MOST: usize = 4 << 20;
 
+/// Where a worker stood of which only its end is told.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// A line of the list.
 pub struct Target {
     pub uid: String,
@@ -56,18 +59,22 @@
 fn target(line: &Value) -> Option<Target> {
     let text = |key: &str| line.get(key).and_then(Value::as_str);
     let figure = |key: &str| line.get(key).and_then(Value::as_f64).filter(|x| x.is_finite() && *x >= 0.0);
+    let health = match text("state")? {
+        "ready" => Health::Up,
+        "draining" => Health::Draining,
+        "gone" => Health::Gone,
+        _ => return None,
+    };
+    // Of one that is gone nothing else matters, and the news must not be missed.
+    let gone = health == Health::Gone;
+    let cell = line.get("pod_group").and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
     Some(Target {
         uid: text("uid").filter(|uid| !uid.is_empty())?.to_string(),
-        endpoint: text("endpoint")?.parse().ok()?,
+        endpoint: text("endpoint").and_then(|at| at.parse().ok()).or(gone.then_some(NOWHERE))?,
         zone: text("az").unwrap_or_default().to_string(),
         model: text("model").unwrap_or_default().to_string(),
-        cell: line.get("pod_group").and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok())?,
-        health: match text("state")? {
-            "ready" => Health::Up,
-            "draining" => Health::Draining,
-            "gone" => Health::Gone,
-            _ => return None,
-        },
+        cell: cell.or(gone.then_some(0))?,
+        health,
         size: figure("capacity_hint").unwrap_or(1.0),
         boot_ms: figure("boot_ms").unwrap_or(0.0),
     })
--- a/src/control.rs
+++ b/src/control.rs
@@ -229,7 +229,9 @@
                 // A new life: what was learned of the former one no longer holds.
                 (s.pace, s.usual, s.reported, s.fail) = (None, 0.0, None, 0.0);
             }
-            (s.zone, s.cell, s.health, s.since) = (line.zone, line.cell, line.health, line.since);
+            // Where one that is gone stood still counts for what may have run there, however little is said of it.
+            let place = if line.health == Health::Gone { (s.zone, s.cell) } else { (line.zone, line.cell) };
+            ((s.zone, s.cell), s.health, s.since) = (place, line.health, line.since);
             s.size = if line.size.is_finite() { line.size.max(SIZE_LEAST) } else { 1.0 };
         }
         self.servers.retain(|_, s| s.health != Health::Gone || !s.out.is_empty());
@@ -330,10 +332,8 @@
         let pause = self.customers.get(&key_of(&request.customer)).map(|c| {
             let plan = &self.cfg.plans[c.plan];
             let (at, level) = c.told.map_or((c.at, c.level), |(at, _, _, level)| (at, level));
-            let until = |at: f64, level: f64, rate: f64| {
-                if rate > 0.0 { 1000.0 * (request.units - level) / rate + at - self.now } else { 0.0 }
-            };
-            until(at, level, plan.rate)
+            let missing = 1000.0 * (request.units - level);
+            if plan.rate > 0.0 { missing / plan.rate + at - self.now } else { 0.0 }
         });
         let pause = pause.filter(|ms| *ms > aim).map_or(0.0, f64::ceil);
         self.actions.push(Action::Refuse { id: request.id, pause });
--- a/tests/node/lists.rs
+++ b/tests/node/lists.rs
@@ -2,6 +2,7 @@
 
 use crate::fakes::*;
 use std::io::{ErrorKind, Read};
+use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -197,3 +198,48 @@
     node.reload(&Setup::new(new.at).config());
     new.watch();
 }
+
+#[test]
+fn a_worker_whose_address_has_a_new_owner_stays_in_its_cell() {
+    let (a, b) = (Door::open(), Door::open());
+    let in_cell =
+        |cell: u32, line: String| line.replace(r#""pod_group":0"#, &format!(r#""pod_group":{cell}"#));
+    let discovery = Discovery::with(list(1, true, &[in_cell(3, target("s-1", a.at, "ready", 0))]));
+    let node = Setup::new(discovery.at).start();
+    let mut watch = discovery.watch();
+    let mut client = node.client();
+    client.say(order("order", 8000));
+    let mut out = a.next();
+    out.command();
+    // It may have run in cell 3, of which nobody is left: those of cell 0 would run it once more.
+    let (owner, other) = (target("s-2", a.at, "ready", 0), target("s-3", b.at, "ready", 0));
+    push(&mut watch, &list(2, false, &[owner, other]));
+    // What came before it is taken in once the watch is opened again over this.
+    push(&mut watch, "{nonsense");
+    discovery.watch();
+    out.read.get_ref().shutdown(Shutdown::Both).expect("open");
+    assert_eq!(client.answer(), "-ERR failed");
+    assert!(a.nobody() && b.nobody());
+}
+
+#[test]
+fn a_worker_that_is_gone_need_not_be_described() {
+    let (worker, other) = (Door::open(), Door::open());
+    let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
+    let node = Setup::new(discovery.at).start();
+    let mut watch = discovery.watch();
+    let mut client = node.client();
+    client.say(ask(5000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("old");
+    assert_eq!(client.answer(), "old");
+    let gone = r#"{"uid":"s-1","state":"gone"}"#.to_string();
+    push(&mut watch, &list(2, false, &[gone, target("s-2", other.at, "ready", 0)]));
+    assert!(line.ended(), "its idle connection is closed");
+    client.say(ask(5000));
+    let mut line = other.next();
+    line.command();
+    line.serve("new");
+    assert_eq!(client.answer(), "new");
+}
