--- a/src/control.rs
+++ b/src/control.rs
@@ -229,7 +229,7 @@
                 // A new life: what was learned of the former one no longer holds.
                 (s.pace, s.usual, s.reported, s.fail) = (None, 0.0, None, 0.0);
             }
-            // Where one that is gone stood still counts for what may have run there, however little is said of it.
+            // Where one stood that is gone still counts for what may have run there.
             let place = if line.health == Health::Gone { (s.zone, s.cell) } else { (line.zone, line.cell) };
             ((s.zone, s.cell), s.health, s.since) = (place, line.health, line.since);
             s.size = if line.size.is_finite() { line.size.max(SIZE_LEAST) } else { 1.0 };
