Keep a customer's plans apart: one asked by mistake must not rule another

Seen in the module alone: after one request of a customer on a plan with much room, twenty of twenty requests on another went on, whose store holds four; under a ceiling the same.

At fault: control.rs customer() keeps the plan of the first request under the customer's key alone, and asked(), refill() and hand_out() go by that. A client that names another plan that exists, by mistake or in somebody else's name, so lifted quota, places and ceiling for as long as the customer was remembered, and at its keeper for all gatekeepers. Ruled out: fields of a class (each is read from the request itself), reused ids (the host numbers requests itself and never twice), timer tokens (question numbers and one other).

Now the plan goes into the key, so that each plan of a customer is an account of its own everywhere, keeper and notes included. A set that is named wrongly still has a keeper and a store of its own: nothing tells which is right.

Test: what_a_customer_does_on_one_plan_gives_it_nothing_on_another, seen to fail without it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -244,7 +244,7 @@
         let tier = self.tier_of.get(request.class).and_then(|row| row.get(request.plan)).copied();
         let Some(tier) = tier else { return self.refuse(&request) };
         self.retries = (self.retries + RETRY_PART).min(RETRY_MOST);
-        let key = key_of(&request.customer);
+        let key = key_of(&request.customer, request.plan);
         let plan = self.cfg.plans[request.plan].clone();
         let spread = if request.spread == 0 { all } else { request.spread.min(all) };
         let keeper = (request.first + (key % u64::from(spread)) as u32) % all;
@@ -329,7 +329,7 @@
     /// aim, it says when they will; for less a client's own wait serves better than ours.
     fn refuse(&mut self, request: &Request) {
         let aim = self.cfg.classes.get(request.class).map_or(0.0, |c| c.aim);
-        let pause = self.customers.get(&key_of(&request.customer)).map(|c| {
+        let pause = self.customers.get(&key_of(&request.customer, request.plan)).map(|c| {
             let plan = &self.cfg.plans[c.plan];
             let (at, level) = c.told.map_or((c.at, c.level), |(at, _, _, level)| (at, level));
             let missing = 1000.0 * (request.units - level);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -949,3 +949,19 @@
     // Within the aim a client's own wait will do.
     assert!(advice(&g.handle(300.0, request(4, 2.0))) == 0.0);
 }
+
+#[test]
+fn what_a_customer_does_on_one_plan_gives_it_nothing_on_another() {
+    let mut g = gateway(settings());
+    assert!(serve(&mut g, 1, 0, 0, 0.0), "on a plan with much room");
+    let sent = (10..30).filter(|k| serve(&mut g, *k, 0, 1, *k as f64)).count();
+    assert_eq!(sent, 4, "the store of the other plan");
+    // Nor are the ceiling of one and the places of another lost to it.
+    let one = Settings { notes: false, ..settings() };
+    let mut g = gateway(one.clone());
+    assert!(serve(&mut g, 1, 0, 0, 0.0));
+    let beside = (100..200).filter(|k| serve(&mut g, *k, 0, 3, *k as f64)).count();
+    let mut g = gateway(one);
+    let alone = (100..200).filter(|k| serve(&mut g, *k, 0, 3, *k as f64)).count();
+    assert_eq!(beside, alone, "under a ceiling");
+}
