Number a gateway's questions from its seed, so that none is taken for one of its former life

Seen in the module alone: a gateway that is started anew twenty times, and asks once each time, was granted twenty units of a store of four: its question had the number of its former life's, which the keeper takes for one put again and charges no second time. In the same way the late answer to a question of the former life admitted whichever request has its number now, that of another customer too, and the return of the one's place freed the other's.

At fault: control.rs, asks began at 0 with each process.

Test: a_new_life_of_a_gateway_puts_no_question_of_its_former_one, seen to fail without it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -170,7 +170,8 @@
             servers: BTreeMap::new(),
             held: BTreeMap::new(),
             waits: BTreeMap::new(),
-            asks: 0,
+            // A keeper still knows questions of this gateway's former life, and may still answer them.
+            asks: seed & 0xff_ffff,
             post: Post::default(),
             fleet: Fleet {
                 class_pace: vec![0.0; cfg.classes.len()],
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -950,6 +950,25 @@
     assert!(advice(&g.handle(300.0, request(4, 2.0))) == 0.0);
 }
 
+#[test]
+fn a_new_life_of_a_gateway_puts_no_question_of_its_former_one() {
+    let mut cfg = settings();
+    cfg.plans[1].rate = 0.01;
+    let mut pair = Pair::new(cfg.clone());
+    let (who, ..) = asker(&mut pair, 0.0);
+    let lives = (0..20u64).map(|life| {
+        let me = u32::try_from(who).expect("one of two");
+        pair.both[who] =
+            Control::new(Settings { gateways: 2, me, ..cfg.clone() }, 0x5eed << life).expect("sound");
+        let servers = vec![line("a", 0)];
+        let now = 1000.0 + 100.0 * life as f64;
+        pair.both[who].handle(now, Event::Servers { listing: Listing::Complete, servers });
+        through(&mut pair, who, 10 + life, now)
+    });
+    let sent: usize = lives.sum();
+    assert!(sent <= 4, "{sent} of a store of four, each granted as if it were the first one put again");
+}
+
 #[test]
 fn what_a_customer_does_on_one_plan_gives_it_nothing_on_another() {
     let mut g = gateway(settings());
