Give back the units of a client that leaves in line for a place

Seen in the module alone: with two places taken and two units left in a customer's store, clients that joined the line and left again used both up; nothing was left for the next requests though nothing had been sent on.

At fault: control.rs on_left() forgot the wait, as on_waited() does not: the units of one in line for a place of this gateway's own were granted before. Cleared: who leaves while the keeper is asked, or in line there; the grant then comes for nobody and goes back.

Test: units_of_one_who_leaves_in_line_for_a_place_come_back, seen to fail without it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -410,10 +410,15 @@
             }
             return self.admit(w);
         }
+        self.unwait(&w);
+        self.refuse(&w.request);
+    }
+
+    /// One in line for a place of this gateway's own goes without: its units were granted already.
+    fn unwait(&mut self, w: &Job) {
         if w.queued && self.customers.get(&w.key).is_some_and(|c| c.slots < u32::MAX) {
             self.spare(w.key, w.keeper, w.request.units, w.place);
         }
-        self.refuse(&w.request);
     }
 
     /// A request with room in its quota: a place of this gateway's own, the throttle, then a server.
@@ -512,7 +517,8 @@
     }
 
     /// Brings a kept store up to now.
-    fn refill(&mut self, key: u64) {
+    fn refill(&mut self, key: u64, plan: usize) {
+        self.customer(key, plan);
         let lease = self.lease();
         let Some(c) = self.customers.get_mut(&key) else { return };
         let plan = &self.cfg.plans[c.plan];
@@ -533,10 +539,8 @@
     }
 
     /// Hands free places to those that wait in line for one; who has no units left for it is told so.
-    fn hand_out(&mut self, key: u64) {
-        let now = self.now;
-        let Some(plan) = self.customers.get(&key).map(|c| c.plan) else { return };
-        let margin = self.margin(plan);
+    fn hand_out(&mut self, key: u64, plan: usize) {
+        let (now, margin) = (self.now, self.margin(plan));
         let Some(c) = self.customers.get_mut(&key) else { return };
         let plan = &self.cfg.plans[plan];
         let mut words = Vec::new();
@@ -556,10 +560,9 @@
 
     /// A gateway asks for a request's units and place. Granted ones are taken at once.
     fn asked(&mut self, key: u64, plan: usize, ask: Ask, weight: f64) -> (Word, f64) {
-        self.customer(key, plan);
-        self.refill(key);
+        self.refill(key, plan);
         // Places whose return was lost come free by time alone: nobody else would tell the line of it.
-        self.hand_out(key);
+        self.hand_out(key, plan);
         let (now, took) = (self.now, self.fleet.took);
         let margin = self.margin(plan);
         let notes = self.cfg.notes;
@@ -595,13 +598,12 @@
 
     /// A gateway tells of units sent on unasked, or given back, of demand and of places given back.
     fn told(&mut self, key: u64, plan: usize, units: f64, place: Option<(u32, u64)>) {
-        self.customer(key, plan);
-        self.refill(key);
+        self.refill(key, plan);
         let Some(c) = self.customers.get_mut(&key) else { return };
-        let plan = &self.cfg.plans[c.plan];
-        c.level = (c.level - units).clamp(-plan.burst, plan.burst);
+        let burst = self.cfg.plans[plan].burst;
+        c.level = (c.level - units).clamp(-burst, burst);
         c.out.retain(|(id, _)| Some(*id) != place);
-        self.hand_out(key);
+        self.hand_out(key, plan);
     }
 
     fn answer(&mut self, key: u64, ask: &Ask, word: Word, units: f64) {
@@ -773,9 +775,8 @@
             Some((Group::Cell, _, cell)) => s.cell == cell,
             _ => true,
         };
-        let usable = |n: &Name, s: &Live| grouped(s) && avoid != Some(n);
         let mut drawn = self.drawn();
-        drawn.retain(|n| usable(n, &self.servers[n]));
+        drawn.retain(|n| grouped(&self.servers[n]) && avoid != Some(n));
         let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
             .max(LOOK)
             .min(drawn.len() as f64);
@@ -867,7 +868,10 @@
     }
 
     fn on_left(&mut self, id: u64) {
-        self.waits.retain(|_, w| w.request.id != id);
+        let left = self.waits.iter().find(|(_, w)| w.request.id == id).map(|(number, _)| *number);
+        if let Some(w) = left.and_then(|number| self.waits.remove(&number)) {
+            return self.unwait(&w);
+        }
         let Some(h) = self.held.get_mut(&id) else { return };
         h.ended = true;
         let (tier, late) = (h.job.tier, self.now - h.job.arrived > self.cfg.classes[h.job.request.class].aim);
@@ -878,10 +882,10 @@
 
     fn on_outcome(&mut self, o: &Outcome) {
         (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
-        let guess = self.servers.get(&o.server).map_or(0.0, |s| self.pace(s));
-        let warmth = self.servers.get(&o.server).map_or(1.0, |s| self.warmth(s));
-        let learned = |s: &Live| (self.learned(s.fail_at), self.learned(s.paced_at));
-        let (learn, learn_pace) = self.servers.get(&o.server).map_or((LEARN, LEARN), learned);
+        let known =
+            |s: &Live| (self.pace(s), self.warmth(s), self.learned(s.fail_at), self.learned(s.paced_at));
+        let known = self.servers.get(&o.server).map_or((0.0, 1.0, LEARN, LEARN), known);
+        let (guess, warmth, learn, learn_pace) = known;
         let Some(h) = self.held.get_mut(&o.id) else { return };
         let (key, keeper, class, load) = (h.job.key, h.job.keeper, h.job.request.class, h.load);
         let (plan, units) = (h.job.request.plan, h.job.request.units);
@@ -1039,8 +1043,7 @@
         if self.now - self.swept > IDLE_MS / 10.0 {
             self.swept = self.now;
             let now = self.now;
-            let waited = |c: &Customer| c.queue.iter().any(|ask| ask.until > now);
-            self.customers.retain(|_, c| c.open > 0 || waited(c) || now - c.seen < IDLE_MS);
+            self.customers.retain(|_, c| c.open > 0 || now - c.seen < IDLE_MS);
         }
     }
 
@@ -1060,8 +1063,7 @@
                     self.told(key, plan, units, place.map(|k| (from, k)));
                 }
                 Item::Unasked { plan, number, units } if plan < self.cfg.plans.len() => {
-                    self.customer(key, plan);
-                    self.refill(key);
+                    self.refill(key, plan);
                     // What was spilt meanwhile is taken first; what goes on beyond the quota takes nothing.
                     let c = self.customers.get_mut(&key);
                     if let Some(c) = c.filter(|c| !c.recent.contains(&(from, number))) {
@@ -1071,8 +1073,7 @@
                     }
                 }
                 Item::Keep { plan, place } if plan < self.cfg.plans.len() => {
-                    self.customer(key, plan);
-                    self.refill(key);
+                    self.refill(key, plan);
                     self.kept(key, (from, place));
                 }
                 Item::Answer { number, word, units, demand, granted, level } => {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -984,3 +984,20 @@
     let alone = (100..200).filter(|k| serve(&mut g, *k, 0, 3, *k as f64)).count();
     assert_eq!(beside, alone, "under a ceiling");
 }
+
+#[test]
+fn units_of_one_who_leaves_in_line_for_a_place_come_back() {
+    let mut cfg = settings();
+    // Two places, and a store of four that hardly fills.
+    cfg.plans[1] = Plan { rate: 0.001, burst: 4.0, open: 2, price: 1.0, over_cost: 1.0, ..Plan::default() };
+    let mut g = gateway(Settings { notes: false, ..cfg });
+    let server = sent(&g.handle(0.0, ask(1, 0, 1, 0.0))).expect("the first place");
+    assert!(sent(&g.handle(1.0, ask(2, 0, 1, 1.0))).is_some(), "the second one");
+    for id in 10..20 {
+        assert_eq!(sent(&g.handle(2.0, ask(id, 0, 1, 2.0))), None, "there is no place");
+        g.handle(3.0, Event::Left { id });
+    }
+    g.handle(4.0, end(1, &server, Ending::Ok, 4.0));
+    let more = (30..34).filter(|k| serve(&mut g, *k, 0, 1, 5.0)).count();
+    assert_eq!(more, 2, "what is left of the store");
+}
