Give back a place that is granted to a request that has taken over another one

Seen in the module alone: a request in its keeper's line took over the place of one that ended at the same gateway; the grant that then came for it from the line was passed over, so that its units were charged twice and the second place stayed shut until its lease ran out (six usual answer times). This concerns plans with a cap on open requests (league) at busy gateways.

At fault: control.rs answered(), which took any place that the request has for the one granted. Now only the place of its own question is kept; another goes back with its units.

Test: a_place_that_is_granted_to_one_who_took_over_another_goes_back, seen to fail without it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -635,7 +635,7 @@
                     h.job.place = Some(number);
                     self.renew_later(number);
                 }
-                Some(h) if h.job.place.is_some() => {}
+                Some(h) if h.job.place == Some(number) => {}
                 _ => self.spare(key, keeper, units, Some(number)),
             },
             _ => {}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1001,3 +1001,37 @@
     let more = (30..34).filter(|k| serve(&mut g, *k, 0, 1, 5.0)).count();
     assert_eq!(more, 2, "what is left of the store");
 }
+
+#[test]
+fn a_place_that_is_granted_to_one_who_took_over_another_goes_back() {
+    let mut cfg = settings();
+    cfg.plans[2].open = 2;
+    let one = |id, now| Event::Request(Request { spread: 3, ..request(id, 0, 2, now) });
+    let told = |actions: &[Action]| {
+        let tells = actions.iter().filter_map(|a| match a {
+            Action::Tell { text, .. } => Some(text.clone()),
+            _ => None,
+        });
+        tells.collect::<String>()
+    };
+    // One of three is the keeper and does not ask.
+    let asks = (0..3).find_map(|me| {
+        let mut g = gateway(Settings { gateways: 3, me, ..cfg.clone() });
+        let first = told(&g.handle(1000.0, one(1, 1000.0)));
+        first.starts_with("p,").then_some((g, me, first))
+    });
+    let (mut g, me, first) = asks.expect("two of three ask");
+    let part = |note: &str, k: usize| note.split(',').nth(k).expect("a part").to_string();
+    let key = part(&first, 1);
+    let says = |g: &mut Control, now, word: u8, number: &str| {
+        let text = format!("g,{key},{word},{number},1.0,1.0,1.0,9.0;");
+        g.handle(now, Event::Note { from: (me + 1) % 3, text })
+    };
+    let server = sent(&says(&mut g, 1010.0, 1, &part(&first, 3))).expect("granted");
+    let second = part(&told(&g.handle(1020.0, one(2, 1020.0))), 3);
+    says(&mut g, 1030.0, 2, &second);
+    let done = g.handle(1040.0, end(1, &server, Ending::Ok, 3.0));
+    assert!(sent(&done).is_some(), "the one in line takes the place over");
+    let back = told(&says(&mut g, 1050.0, 1, &second));
+    assert!(back.contains(&format!(",{second},-1.0;")), "{back:?} gives back the place it has no use for");
+}
