--- a/src/control.rs
+++ b/src/control.rs
@@ -1042,8 +1042,8 @@
         }
         if self.now - self.swept > IDLE_MS / 10.0 {
             self.swept = self.now;
-            let now = self.now;
-            self.customers.retain(|_, c| c.open > 0 || now - c.seen < IDLE_MS);
+            self.customers.retain(|_, c| c.open > 0 || self.now - c.seen < IDLE_MS);
+            self.post.unasked.retain(|key, _| self.customers.contains_key(key));
         }
     }
 
