Hear SIGTERM while the first list is awaited

Seen over loopback: told to end as it waited for its first list, a gatekeeper went on waiting, served, and began to end up to a second late; it counts the time until it may be killed from then, so that what it took at last would have been answered after the kill.

At fault: main.rs, which awaited the list before it looked at the signals. Now both are awaited together.

Test: sigterm_is_heard_while_the_first_list_is_awaited, seen to fail without the change.

--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -103,14 +103,16 @@
             }
         }
     });
-    // Nothing is accepted before there is somebody to send it to.
-    if rev.is_none() {
-        let _ = timeout(FIRST_LIST, news.notified()).await;
-    }
-    eprintln!("frostvale: {name} serves at {listen}");
-
+    let serve = async {
+        // Nothing is accepted before there is somebody to send it to.
+        if rev.is_none() {
+            let _ = timeout(FIRST_LIST, news.notified()).await;
+        }
+        eprintln!("frostvale: {name} serves at {listen}");
+        clients.clone().accept(&listener, gateway.clone()).await;
+    };
     tokio::select! {
-        () = clients.clone().accept(&listener, gateway.clone()) => {}
+        () = serve => {}
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
--- a/tests/node/fakes.rs
+++ b/tests/node/fakes.rs
@@ -273,6 +273,13 @@
 }
 
 pub fn start(config: &str, shell: &str) -> Node {
+    let mut node = spawn(config, shell);
+    node.at = node.says(" serves at ").rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+    node
+}
+
+/// A process that may not serve yet.
+pub fn spawn(config: &str, shell: &str) -> Node {
     let path = write_config(config);
     let mut child = Command::new("/bin/sh")
         .arg("-c")
@@ -291,9 +298,7 @@
             let _ = tell.send(line);
         }
     });
-    let mut node = Node { child, at: "127.0.0.1:0".parse().expect("an address"), log, lines, config: path };
-    node.at = node.says(" serves at ").rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-    node
+    Node { child, at: "127.0.0.1:0".parse().expect("an address"), log, lines, config: path }
 }
 
 pub fn write_config(text: &str) -> PathBuf {
--- a/tests/node/shutdown.rs
+++ b/tests/node/shutdown.rs
@@ -130,3 +130,24 @@
     assert!(other.answer().starts_with("-"), "far ahead of its own time");
     assert!(node.exit().success());
 }
+
+#[test]
+fn sigterm_is_heard_while_the_first_list_is_awaited() {
+    let serves =
+        |node: &Node| node.log.lock().expect("whole").iter().any(|line| line.contains(" serves at "));
+    // One that was so slow to ask that it has done with waiting by now is no case of it.
+    let mut node = (0..100)
+        .map(|_| {
+            let silent = Door::open();
+            let node = spawn(&Setup::new(silent.at).config(), "exec");
+            // It asks for the list: signals are heard from before that on.
+            let _call = silent.next();
+            node
+        })
+        .find(|node| !serves(node))
+        .expect("one of many waits");
+    node.signal("-TERM");
+    node.says(" stops");
+    assert!(node.exit().success());
+    assert!(!serves(&node), "it waits for the list first: {:?}", node.log);
+}
