Do not repeat a keyed request whose window passed while its connection came up

Seen over loopback: a request that workers of its cell drop repeats of for 0.9 s was sent on once more a second after its first attempt, as the connection to the second worker took that long to come up. The module had asked for it in time.

At fault: gateway.rs begin() looked at the worker alone. It now looks at the class's window as well, from the begin of the first attempt that may have run; the module then hears that the attempt never ran.

Test: a_keyed_request_is_not_repeated_once_its_window_has_passed_while_a_connection_came_up, seen to fail without.

--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -66,6 +66,8 @@
     client: Option<Rc<Client>>,
     attempts: u32,
     attempt: Option<Attempt>,
+    /// When the first attempt that may have run was begun.
+    ran: Option<f64>,
 }
 
 /// The one attempt that may be out.
@@ -252,7 +254,7 @@
         };
         self.held += ask.command.len();
         self.open.insert(ask.wire);
-        self.requests.insert(id, InHand { ask, client: Some(client), attempts: 0, attempt: None });
+        self.requests.insert(id, InHand { ask, client: Some(client), attempts: 0, attempt: None, ran: None });
         self.at(give_up + OVERDUE_MS, Due::Answer(id));
         self.event(Event::Request(request));
     }
@@ -452,8 +454,12 @@
         let now = self.clock.now();
         let usable = self.usable(conn);
         let Some(r) = self.requests.get_mut(&id) else { return false };
+        // Servers drop a repeat within the window only, which may have passed while the connection came up.
+        let class = &self.settings.classes[r.ask.class];
+        let keyed = matches!(class.effect, Effect::Keyed(_));
+        let repeats = !keyed || r.ran.is_none_or(|at| now - at < class.window);
         let Some(attempt) = &mut r.attempt else { return false };
-        if !usable {
+        if !usable || !repeats {
             conn.close();
             return false;
         }
@@ -525,6 +531,9 @@
         let now = self.clock.now();
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = r.attempt.take() else { return };
+        if !matches!(ending, Ending::Full | Ending::Unreachable | Ending::Moot) {
+            r.ran.get_or_insert(attempt.started);
+        }
         let outcome = Outcome {
             id,
             attempt: attempt.number,
