Force the passing of a keyed request's window inside the process, not by the kernel's second try

The same crossing is now forced in the process: a connection that came up too late is handed to the gateway. It fails without the guard, and also where the guard would hold a repeat in time.

--- a/src/bin/frostvale/crossings.rs
+++ b/src/bin/frostvale/crossings.rs
@@ -25,7 +25,10 @@
 pub fn config(here: SocketAddr) -> Config {
     let conf: Conf = serde_json::from_value(serde_json::json!({
         "Balancers": 1,
-        "Classes": [{"Name": "pay", "Target": 8000.0, "Effect": "once", "Worth": 1.0}],
+        "Classes": [
+            {"Name": "pay", "Target": 8000.0, "Effect": "once", "Worth": 1.0},
+            {"Name": "order", "Target": 8000.0, "Effect": "by_key", "Window": 900.0, "Worth": 1.0},
+        ],
         "Plans": [{"Name": "p", "UnitsPerS": 10.0, "PeakUnits": 10.0, "ValueFactor": 1.0}],
     }))
     .expect("sound settings");
--- a/src/bin/frostvale/gateway.rs
+++ b/src/bin/frostvale/gateway.rs
@@ -689,24 +689,30 @@
         (gateway, far)
     }
 
+    /// A client that has sent a request of this class, with so long a body.
+    async fn asked(gateway: &Shared, class: &str, body: usize) -> (Rc<Clients>, TcpStream) {
+        let door = TcpListener::bind(ANY).await.expect("a port");
+        let at = door.local_addr().expect("bound");
+        let clients = Clients::new(8, 1 << 20);
+        let (accepting, gateway) = (clients.clone(), gateway.clone());
+        tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
+        let mut client = TcpStream::connect(at).await.expect("connected");
+        let fields = format!("c={class},t=p,d=8000,k=1,units=1,spread=1,first=0");
+        let mut command = b"*5\r\n".to_vec();
+        for part in ["Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", &fields] {
+            resp::put_bulk(&mut command, part.as_bytes());
+        }
+        resp::put_bulk(&mut command, &vec![b'x'; body]);
+        client.write_all(&command).await.expect("written");
+        (clients, client)
+    }
+
     #[test]
     fn the_rest_of_a_command_is_not_written_once_its_client_has_left() {
         play(async {
             let workers = TcpListener::bind(ANY).await.expect("a port");
             let (gateway, mut far) = narrow(&workers).await;
-            let door = TcpListener::bind(ANY).await.expect("a port");
-            let at = door.local_addr().expect("bound");
-            let clients = Clients::new(8, 1 << 20);
-            let accepting = clients.clone();
-            tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
-            let mut client = TcpStream::connect(at).await.expect("connected");
-            let fields = "c=pay,t=p,d=8000,units=1,spread=1,first=0";
-            let mut command = b"*5\r\n$4\r\nQ.DO\r\n$16\r\n00000000b4d65521\r\n$16\r\n".to_vec();
-            command.extend_from_slice(
-                format!("9b1f03aa5c7e2d41\r\n${}\r\n{fields}\r\n", fields.len()).as_bytes(),
-            );
-            resp::put_bulk(&mut command, &[b'x'; 60_000]);
-            client.write_all(&command).await.expect("written");
+            let (clients, client) = asked(&gateway, "pay", 60_000).await;
             far.readable().await.expect("the command has begun");
             drop(client);
             timeout(LONG, clients.one_left()).await.expect("its end is seen");
@@ -716,4 +722,39 @@
             assert!(resp::command(&came).is_ok_and(|whole| whole.is_none()), "it came whole");
         });
     }
+
+    /// Whether a further attempt is written on a connection that comes up so long after the first one began.
+    async fn repeated_after(ms: f64) -> bool {
+        let workers = TcpListener::bind(ANY).await.expect("a port");
+        let (gateway, far) = narrow(&workers).await;
+        let (_clients, _client) = asked(&gateway, "order", 4).await;
+        far.readable().await.expect("the first attempt");
+        let late = TcpStream::connect(workers.local_addr().expect("bound")).await.expect("connected");
+        let (mut end, _) = workers.accept().await.expect("connected");
+        {
+            let mut g = gateway.borrow_mut();
+            let (now, place) = (g.now(), g.workers.place().expect("room"));
+            let (&id, r) = g.requests.iter_mut().next().expect("in hand");
+            // As if the first attempt had failed, and the connection for this one had been coming up since.
+            r.ran = Some(now - ms);
+            r.attempt = Some(Attempt {
+                number: 1,
+                server: "s-1".into(),
+                started: now,
+                not_past: now + 5000.0,
+                conn: None,
+            });
+            g.connected(id, 1, "s-1".into(), 0, place, Some(late));
+        }
+        let mut byte = [0];
+        timeout(LONG, end.read(&mut byte)).await.expect("it is closed or used").is_ok_and(|n| n > 0)
+    }
+
+    #[test]
+    fn a_keyed_request_is_not_repeated_once_its_window_passed_as_a_connection_came_up() {
+        play(async {
+            assert!(repeated_after(100.0).await);
+            assert!(!repeated_after(900.0).await);
+        });
+    }
 }
--- a/tests/node/lists.rs
+++ b/tests/node/lists.rs
@@ -243,38 +243,3 @@
     line.serve("new");
     assert_eq!(client.answer(), "new");
 }
-
-#[test]
-fn a_keyed_request_is_not_repeated_once_its_window_has_passed_while_a_connection_came_up() {
-    let one = Door::open();
-    let (slow, filler) = full();
-    let at = slow.local_addr().expect("bound");
-    let discovery = Discovery::with(list(1, true, &[target("s-1", one.at, "ready", 0)]));
-    let config = Setup::new(discovery.at).config().replace(r#""Window":5000.0"#, r#""Window":900.0"#);
-    let node = start(&config, "exec");
-    let mut watch = discovery.watch();
-    let mut client = node.client();
-    client.say(order("order", 8000));
-    let mut out = one.next();
-    out.command();
-    push(&mut watch, &list(2, false, &[target("s-1", one.at, "draining", 0), target("s-2", at, "ready", 0)]));
-    // What came before it is taken in once the watch is opened again over this.
-    push(&mut watch, "{nonsense");
-    discovery.watch();
-    out.read.get_ref().shutdown(Shutdown::Both).expect("open");
-    // What came before is taken in once these are answered.
-    let mut other = node.client();
-    for _ in 0..3 {
-        other.say(words(&["PING"]));
-        assert_eq!(other.answer(), "+PONG");
-    }
-    // The pending connection comes up with the second try of the kernel, a second later.
-    let door = Door::over(slow);
-    let late = std::thread::spawn(move || {
-        drop(door.next());
-        door.came.recv_timeout(LONG).is_ok_and(|stream| !Line::of(stream).ended())
-    });
-    assert_eq!(client.answer(), "-ERR failed");
-    drop((client, other, node, filler));
-    assert!(!late.join().expect("it ends"), "sent on past its window");
-}
