Give back what was granted ahead and not used soon: kept by all, it passes a ceiling

Rule on ceilings. Seen with 40 Controls in tests/fleet.rs: a customer whose gateways are busy one after the other, in requests of one unit, and then all at once, is sent on 32 to 40 units below nothing (9 plays: requests of 1, 3 and 6 units at three rates; those of 1 unit pass the slack of 6, those of 3 come to 6 units above nothing). The same stock passes a quota.

At fault: control.rs keeps at each gateway what its keeper granted ahead (stock, for 0.4 s of its demand) without an end, while the keeper's grants leave a quarter of the ceiling's burst for what may still wait. What is older than the 0.4 s it was meant for now goes back with the gateway's next note to the keeper, and units that come free later than that go back at once.

Test: a_ceiling_holds_though_each_gateway_was_busy_once_and_all_are_at_the_end, seen to fail without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -241,7 +241,7 @@
     // ---- a request: bucket, ceiling, throttle, server ----
 
     fn on_request(&mut self, request: Request) {
-        let (now, me, all) = (self.now, self.cfg.me, self.cfg.gateways);
+        let (now, me, all, notes) = (self.now, self.cfg.me, self.cfg.gateways, self.cfg.notes);
         let tier = self.tier_of.get(request.class).and_then(|row| row.get(request.plan)).copied();
         let Some(tier) = tier else { return self.refuse(&request) };
         self.retries = (self.retries + RETRY_PART).min(RETRY_MOST);
@@ -252,6 +252,8 @@
         let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
         let took = self.fleet.took.max(1.0);
         let part = self.unasked();
+        self.asks += 1;
+        let (number, until) = (self.asks, self.patience(&request, now));
         let c = self.customer(key, name);
         let (ms, n) = (now - c.slice_at, f64::from(spread));
         c.slice_at = now;
@@ -267,27 +269,25 @@
         let places = if shared { f64::from(plan.open) * units * 1000.0 / took } else { f64::INFINITY };
         let holds = places.min(if plan.rate > 0.0 { plan.rate } else { f64::INFINITY });
         let chance = 1.0 - ((demand - ASK_MORE * granted.max(holds)) / (demand + units)).max(0.0);
-        let weight = units / chance;
         c.own = c.own * (-(now - c.own_at) / DEMAND_MS).exp() + units * 1000.0 / DEMAND_MS;
         c.own_at = now;
-        let ample = !shared && c.stock >= units;
+        // What was granted ahead is used soon or goes back: kept by all, it would pass a ceiling.
+        let fresh = now - c.asked_at <= STOCK_MS;
+        let ample = !shared && fresh && c.stock >= units;
         c.stock -= if ample { units } else { 0.0 };
         c.credit += chance;
         if keeper != me && !ample && c.credit < 1.0 {
             return self.refuse(&request);
         }
         c.credit = (c.credit - 1.0).clamp(0.0, 1.0);
-        c.untold += weight;
+        c.untold += units / chance;
+        let old = if fresh { 0.0 } else { std::mem::take(&mut c.stock) };
         let mut extra = c.own * STOCK_MS / 1000.0 - c.stock;
         if shared || keeper == me || extra < units || now - c.asked_at < STOCK_MS / 4.0 {
             extra = 0.0;
         }
-        self.asks += 1;
-        let number = self.asks;
-        let until = self.patience(&request, now);
         let ask = Ask { from: me, number, units, extra: 0.0, shared, until };
         let place = Some(number);
-        let Some(c) = self.customers.get_mut(&key) else { return };
         let mut job = Job {
             request,
             key,
@@ -308,20 +308,20 @@
                 Word::Wait => self.wait(job),
             };
         }
-        let weight = c.untold;
-        if self.cfg.notes && (!ample || extra > 0.0) {
+        if notes && (!ample || extra > 0.0) {
+            let weight = std::mem::take(&mut c.untold);
             let ask = Ask { units: if ample { 0.0 } else { units }, extra, ..ask };
-            c.untold = 0.0;
             c.asked_at = if extra > 0.0 { now } else { c.asked_at };
             self.note(keeper, key, 0.0, Item::Ask { plan: name, ask, weight });
         }
+        self.tell(key, keeper, name, -old, None);
         if ample {
             job.place = None;
             return self.admit(job);
         }
         // Half of it for the question, half for its repeat.
         let silence = (ASK_PART * aim).min((until - now) / 2.0);
-        job.until = now + if self.cfg.notes { silence / 2.0 } else { 0.0 };
+        job.until = now + if notes { silence / 2.0 } else { 0.0 };
         (job.queued, job.place, job.granted) = (false, None, false);
         self.wait(job);
     }
@@ -565,7 +565,6 @@
         self.hand_out(key, plan);
         let (now, took) = (self.now, self.fleet.took);
         let margin = self.margin(plan);
-        let notes = self.cfg.notes;
         let Some(c) = self.customers.get_mut(&key) else { return (Word::Deny, 0.0) };
         // Asked again as its answer was lost: it is charged already, or in line.
         let same = |from, number| (from, number) == (ask.from, ask.number);
@@ -577,7 +576,7 @@
         }
         let plan = &self.cfg.plans[c.plan];
         c.demand += weight * 1000.0 / DEMAND_MS;
-        let below = if plan.ceiling_rate > 0.0 && notes { c.grantable } else { f64::INFINITY };
+        let below = if plan.ceiling_rate > 0.0 && self.cfg.notes { c.grantable } else { f64::INFINITY };
         let inside =
             below >= ask.units && (plan.rate <= 0.0 || c.level >= (ask.units + margin).min(plan.burst));
         let free = !ask.shared || (c.out.len() < plan.open as usize && c.queue.is_empty());
@@ -647,7 +646,8 @@
         let Some(c) = self.customers.get_mut(&key) else { return };
         let (name, plan) = (c.plan, &self.cfg.plans[c.plan]);
         let shared = plan.open > 0 && c.slots == u32::MAX;
-        if !shared && keeper != self.cfg.me && c.own * STOCK_MS / 500.0 >= units + c.stock {
+        let kept = keeper != self.cfg.me && self.now - c.asked_at <= STOCK_MS;
+        if !shared && kept && c.own * STOCK_MS / 500.0 >= units + c.stock {
             c.stock += units;
         } else if units > 0.0 || shared && place.is_some() {
             self.tell(key, keeper, name, -units, place);
@@ -1065,8 +1065,8 @@
                 Item::Unasked { plan, number, units } if plan < self.cfg.plans.len() => {
                     self.refill(key, plan);
                     // What was spilt meanwhile is taken first; what goes on beyond the quota takes nothing.
-                    let c = self.customers.get_mut(&key);
-                    if let Some(c) = c.filter(|c| !c.recent.contains(&(from, number))) {
+                    let c = self.customers.get_mut(&key).filter(|c| !c.recent.contains(&(from, number)));
+                    if let Some(c) = c {
                         let taken = units - units.min(c.spilt);
                         c.spilt -= units - taken;
                         c.level = (c.level - taken).max(c.level.min(0.0));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -150,9 +150,8 @@
     Answers(u64, Name, bool),
 }
 
-/// Plays the day through the gateways.
-fn play(seed: u64, cfg: &Settings) -> (Books, Vec<Truth>) {
-    let (shops, arrivals) = day(seed, cfg);
+/// Plays a day through the gateways.
+fn play(seed: u64, cfg: &Settings, (shops, arrivals): &(Vec<Shop>, Vec<Arrival>)) -> (Books, Vec<Truth>) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xfee1);
     let servers: Vec<Server> = (0..30)
         .map(|k| Server {
@@ -276,7 +275,7 @@
 fn what_goes_on_beyond_quotas_costs_little_more_than_with_a_late_view_of_the_truth() {
     let cfg = settings();
     for seed in 1..=6 {
-        let (books, truth) = play(seed, &cfg);
+        let (books, truth) = play(seed, &cfg, &day(seed, &cfg));
         let late = play_late(seed, &cfg);
         let share = |cost: f64| cost / late.inside;
         let (ours, theirs) = (share(books.cost), share(late.cost));
@@ -291,6 +290,25 @@
     }
 }
 
+#[test]
+fn a_ceiling_holds_though_each_gateway_was_busy_once_and_all_are_at_the_end() {
+    let cfg = settings();
+    let shops = vec![Shop { plan: 3, first: 0, spread: GATEWAYS }];
+    let mut arrivals = Vec::new();
+    let mut arrives = |at: f64, who: u32| {
+        arrivals.push(Arrival { at, who: who as usize, customer: 0, guess: 1.0, units: 1.0 });
+    };
+    for who in 0..GATEWAYS {
+        (0..25).for_each(|k| arrives(4000.0 * f64::from(who) + 160.0 * f64::from(k), who));
+    }
+    let end = 4000.0 * f64::from(GATEWAYS) + 5000.0;
+    for k in 0..4 {
+        (0..GATEWAYS).for_each(|who| arrives(end + 20.0 * f64::from(k), who));
+    }
+    let (_, truth) = play(1, &cfg, &(shops, arrivals));
+    assert!(truth[0].lowest >= -cfg.plans[3].ceiling_slack, "passed by {}", -truth[0].lowest);
+}
+
 #[test]
 fn what_a_gateway_has_to_tell_after_a_long_silence_is_bounded() {
     let mut g = Control::new(Settings { me: 0, ..settings() }, 7).expect("sound settings");
