--- a/src/bin/frostvale/clients.rs
+++ b/src/bin/frostvale/clients.rs
@@ -633,3 +633,30 @@
     };
     let _ = timeout(LINGER, read_on).await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::crossings::{ANY, PING, config, play, rest, unseen};
+
+    #[test]
+    fn a_command_that_has_come_as_its_time_to_speak_is_up_is_answered() {
+        play(async {
+            let door = TcpListener::bind(ANY).await.expect("a port");
+            let at = door.local_addr().expect("bound");
+            let gateway = Gateway::new(config(at), None, 8).expect("sound settings");
+            let clients = Clients::new(8, 1 << 20);
+            let accepting = clients.clone();
+            tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
+            let client = TcpStream::connect(at).await.expect("connected");
+            while clients.is_empty() {
+                tokio::task::yield_now().await;
+            }
+            let mut client = unseen(client, PING);
+            let up = Instant::now() + SPEAK + LOOK;
+            clients.all.borrow().values().for_each(|c| c.look(up, IDLE_MOST));
+            clients.close_soon();
+            assert_eq!(rest(&mut client).await, "+PONG\r\n");
+        });
+    }
+}
--- a/src/bin/frostvale/crossings.rs
+++ b/src/bin/frostvale/crossings.rs
@@ -19,7 +19,7 @@
 /// Nothing here waits this long unless it has failed.
 pub const LONG: Duration = Duration::from_secs(20);
 pub const ANY: &str = "127.0.0.1:0";
-const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
+pub const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
 
 /// What a gatekeeper that is alone is told.
 pub fn config(here: SocketAddr) -> Config {
@@ -72,13 +72,13 @@
 }
 
 /// Writes at once, so that the runtime has seen nothing of it.
-fn unseen(client: TcpStream, bytes: &[u8]) -> TcpStream {
+pub fn unseen(client: TcpStream, bytes: &[u8]) -> TcpStream {
     let mut client = client.into_std().expect("a socket");
     client.write_all(bytes).expect("written");
     TcpStream::from_std(client).expect("a socket")
 }
 
-async fn rest(client: &mut TcpStream) -> String {
+pub async fn rest(client: &mut TcpStream) -> String {
     let mut rest = String::new();
     timeout(LONG, client.read_to_string(&mut rest)).await.expect("it is closed").expect("and not reset");
     rest
