--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,7 @@
 //! a bucket per customer that fills at the quota times this gateway's part of recent demand.
 
 use crate::api::*;
-use crate::note::{Item, key_of};
+use crate::note::{Item, keeper_of, key_of};
 use crate::state::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -248,7 +248,7 @@
         let key = key_of(&request.customer, request.plan);
         let plan = self.cfg.plans[request.plan].clone();
         let spread = if request.spread == 0 { all } else { request.spread.min(all) };
-        let keeper = (request.first + (key % u64::from(spread)) as u32) % all;
+        let keeper = (request.first + keeper_of(key, spread)) % all;
         let (aim, name, units) = (self.cfg.classes[request.class].aim, request.plan, request.units);
         let took = self.fleet.took.max(1.0);
         let part = self.unasked();
--- a/src/note.rs
+++ b/src/note.rs
@@ -17,12 +17,20 @@
     Answer { number: u64, word: Word, units: f64, demand: f64, granted: f64, level: f64 },
 }
 
-/// A customer's key in notes: 40 bits of FNV-1a. Each of its plans is an account of its own: what is asked on
-/// one, by mistake or by somebody else in its name, must not rule what it gets on another.
+/// The part of a key that its customer's name gives.
+const NAME: u64 = (1 << 40) - 1;
+
+/// A customer's key in notes: 40 bits of FNV-1a, and its plan above them. Each of its plans is an account of its
+/// own: what is asked on one, by mistake or by somebody else in its name, must not rule what it gets on another.
 pub(crate) fn key_of(name: &str, plan: usize) -> u64 {
-    let first = 0xcbf2_9ce4_8422_2325u64 ^ (plan as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let hash = name.bytes().fold(first, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    (hash ^ (hash >> 40)) & 0xff_ffff_ffff
+    let hash =
+        name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    (hash ^ (hash >> 40)) & NAME | (plan as u64) << 40
+}
+
+/// Which of its set, counted from the first, keeps all accounts of a customer.
+pub(crate) fn keeper_of(key: u64, spread: u32) -> u32 {
+    ((key & NAME) % u64::from(spread)) as u32
 }
 
 impl Item {
