--- a/tests/node/shutdown.rs
+++ b/tests/node/shutdown.rs
@@ -80,9 +80,12 @@
     let mut node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
     // As many as have room, each with a request in hand, so that none of them can make any.
     let mut busy: Vec<(Line, Line)> = Vec::new();
-    for _ in 0..21 {
+    for k in 0..21 {
+        // With the last one the table is full, and who has said nothing yet would make room.
+        node.signal(if k == 20 { "-STOP" } else { "-CONT" });
         let mut client = node.client();
         client.say(ask(9000));
+        node.signal("-CONT");
         let mut out = worker.next();
         out.command();
         busy.push((client, out));
