Make the host a library module that tests reach, and move its tests into test files

Change: `src/host` is a module of the library and `src/bin/frostvale` a thin `main`. Waits, limits and what is decided are as before.

Tests: moved to `tests/host`, the same in what they assert, but for two that went on as soon as tokio's `readable` returned, which it also does before anything has come: one passed without its request having been sent. They look for bytes now, and the one of keyed repeats opens its late connection by `Connect` in place of writing into the gateway's state.

--- a/src/api.rs
+++ b/src/api.rs
@@ -180,9 +180,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Listing {
     /// Every server there is; one not named is gone.
-    Complete,
+    Snapshot,
     /// Only those that changed.
-    Changes,
+    Delta,
 }
 
 /// A request that came in.
--- a/src/bin/frostvale-drill/wire.rs
+++ b/src/bin/frostvale-drill/wire.rs
@@ -230,8 +230,8 @@
             Frame::DirectoryUpdate { gatekeeper_id, form, sheet } => {
                 let listing = match form {
                     Form::Error => return self.known(&gatekeeper_id).map(|()| None),
-                    Form::Diff => Listing::Changes,
-                    Form::Snapshot | Form::Disk => Listing::Complete,
+                    Form::Diff => Listing::Delta,
+                    Form::Snapshot | Form::Disk => Listing::Snapshot,
                 };
                 let entries = self.sheets.get(&sheet).ok_or(format!("no list has the number {sheet}"))?;
                 (gatekeeper_id, Event::Servers { listing, servers: entries.iter().map(server).collect() })
--- a/src/bin/frostvale/main.rs
+++ b/src/bin/frostvale/main.rs
@@ -1,51 +1,12 @@
-//! A gatekeeper on real sockets: clients in front, workers behind, the decisions in the library.
-//! Start, signals and shutdown.
+//! The gatekeeper as a process: a runtime around [`frostvale::host`].
 
-mod backoff;
-mod budget;
-mod clients;
-mod config;
-#[cfg(test)]
-mod crossings;
-mod discovery;
-mod gateway;
-mod peers;
-mod resp;
-mod workers;
-
-use backoff::Backoff;
-use clients::Clients;
-use config::Config;
-use gateway::Gateway;
-use peers::Peers;
 use std::process::ExitCode;
-use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, watch};
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
-
-/// How long discovery may be silent at the start before the known list has to do.
-const FIRST_LIST: Duration = Duration::from_secs(1);
-/// Sets the lots drawn for discovery apart from those of the module.
-const DISCOVERY_LOTS: u64 = 0x9e37_79b9_7f4a_7c15;
-/// New connections go on coming for up to 0.4 s after SIGTERM.
-const FAREWELL: Duration = Duration::from_millis(500);
-/// The part of the time before a kill after which one that was told to end has answered its clients, and up to
-/// which it goes on answering its peers.
-const ENDING_PART: f64 = 0.9;
-/// The parts of the descriptors, in hundredths, that clients and workers may hold: the rest is for the
-/// listener, discovery, notes and what is about to be closed. Clients hold a third at most for requests, and one
-/// at its own limit can't open a connection before an idle one of its is closed: so room is made from there on.
-const CLIENT_PART: usize = 33;
-const WORKER_PART: usize = 45;
+use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"));
-    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
+    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, frostvale::host::run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("frostvale: {what}");
@@ -53,92 +14,3 @@
         }
     }
 }
-
-async fn run() -> Result<(), String> {
-    // Before all else: a signal that nobody awaits ends the process.
-    let mut hup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
-    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("cannot await SIGINT: {e}"))?;
-    let mut config = Config::read()?;
-    let (name, me) = (std::mem::take(&mut config.name), config.settings.me);
-    let listen = config.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
-    let listen = listener.local_addr().unwrap_or(listen);
-    let peers = match config.peer_listen {
-        Some(at) => {
-            let peers = Peers::bind(at, std::mem::take(&mut config.peers)).await;
-            Some(peers.map_err(|e| format!("cannot take notes at {at}: {e}"))?)
-        }
-        None => None,
-    };
-    let known = config.known.take();
-    let (moved, discovery) = watch::channel(config.discovery);
-    let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part());
-    let backoff = Backoff::new(&config.conf, config.seed ^ DISCOVERY_LOTS);
-    let places = config.sockets * WORKER_PART / 100;
-    let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
-    // A list with nobody on it is none to build on.
-    let rev = known.as_ref().filter(|list| !list.targets.is_empty()).map(|list| list.rev);
-    if let Some(list) = known {
-        gateway.borrow_mut().listed(list);
-    }
-    let news = Rc::new(Notify::new());
-    gateway.borrow_mut().news = news.clone();
-    let keeps = peers.is_some();
-    if let Some(peers) = peers {
-        spawn_local(peers.listen(gateway.clone(), me));
-    }
-    spawn_local(Gateway::keep_time(gateway.clone()));
-    spawn_local(clients.clone().keep_time());
-    spawn_local(discovery::follow(gateway.clone(), discovery, rev, backoff));
-    spawn_local(async move {
-        while hup.recv().await.is_some() {
-            match Config::read_again() {
-                // Sent also where it is the same: the whole list is asked for once more.
-                Ok(config) => {
-                    eprintln!("frostvale: configuration read again; discovery at {}", config.discovery);
-                    let _ = moved.send(config.discovery);
-                }
-                Err(what) => eprintln!("frostvale: the configuration in use stays: {what}"),
-            }
-        }
-    });
-    let serve = async {
-        // Nothing is accepted before there is somebody to send it to.
-        if rev.is_none() {
-            let _ = timeout(FIRST_LIST, news.notified()).await;
-        }
-        eprintln!("frostvale: {name} serves at {listen}");
-        clients.clone().accept(&listener, gateway.clone()).await;
-    };
-    tokio::select! {
-        () = serve => {}
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-    eprintln!("frostvale: {name} stops");
-    let most = gateway.borrow().conf.grace().mul_f64(ENDING_PART);
-    let ends = Instant::now() + most;
-    gateway.borrow_mut().end_within(most);
-    let _ = timeout(FAREWELL, clients.clone().accept(&listener, gateway.clone())).await;
-    eprintln!("frostvale: {name} lets nobody new in");
-    clients.close_soon();
-    let _ = timeout_at(ends, clients.clone().accept_rest(listener, &gateway)).await;
-    while !clients.is_empty() {
-        clients.one_left().await;
-    }
-    // The last attempts of clients that have left need no answer; the last bytes to clients are the kernel's.
-    while !gateway.borrow().settled() {
-        sleep(Duration::from_millis(5)).await;
-    }
-    // Its peers go on asking for the stores that are kept here, of which its next life knows nothing. Who
-    // tells it to end once more won't wait for that.
-    if keeps {
-        tokio::select! {
-            () = sleep_until(ends) => {}
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-    }
-    Ok(())
-}
--- a/src/control.rs
+++ b/src/control.rs
@@ -210,7 +210,7 @@
     }
 
     fn on_servers(&mut self, listing: Listing, lines: Vec<Server>) {
-        if listing == Listing::Complete {
+        if listing == Listing::Snapshot {
             let named: BTreeSet<&Name> = lines.iter().map(|s| &s.name).collect();
             for (name, s) in &mut self.servers {
                 if !named.contains(name) {
--- a/src/bin/frostvale/budget.rs
+++ b/src/host/budget.rs
@@ -17,10 +17,12 @@
 }
 
 impl Budget {
+    /// So many bytes at the most.
     pub fn new(most: usize) -> Budget {
         Budget { used: Rc::default(), most }
     }
 
+    /// What a new holder has of it: nothing yet.
     pub fn share(&self) -> Share {
         Share { budget: self.clone(), own: Cell::new(0) }
     }
@@ -41,19 +43,3 @@
         self.set(0, 0);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn who_holds_much_gives_way_and_gives_all_back() {
-        let budget = Budget::new(100);
-        let (small, large) = (budget.share(), budget.share());
-        assert!(large.set(90, 20));
-        assert!(small.set(20, 20), "a little is left to everyone");
-        assert!(!large.set(91, 20));
-        drop(large);
-        assert!(small.set(80, 20));
-    }
-}
--- a/src/bin/frostvale/clients.rs
+++ b/src/host/clients.rs
@@ -1,9 +1,9 @@
 //! Clients: the listener, pipelined commands, which are begun at once, and answers in their order.
 
-use crate::budget::{Budget, Share};
-use crate::gateway::{Gateway, Shared};
-use crate::resp::{self, Broken, Command};
-use frostvale::{EffectWord, Name};
+use crate::host::budget::{Budget, Share};
+use crate::host::gateway::{Gateway, Shared};
+use crate::host::resp::{self, Broken, Command};
+use crate::{EffectWord, Name};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -26,7 +26,7 @@
 const KEPT: usize = 16 * 1024;
 /// A client's first command, and the rest of any that it has begun, is there within this time, however it
 /// dribbles. What it was sent and doesn't take is as much a silence.
-const SPEAK: Duration = Duration::from_millis(2500);
+pub const SPEAK: Duration = Duration::from_millis(2500);
 /// One that asks nothing more is closed after this time; after the shorter one while the table is half full.
 const IDLE_MOST: Duration = Duration::from_secs(20);
 const IDLE_LEAST: Duration = Duration::from_secs(2);
@@ -40,28 +40,28 @@
 const LINGER: Duration = Duration::from_millis(500);
 
 /// A request as the client wrote it.
-pub struct Ask {
+pub(crate) struct Ask {
     /// The whole command, and where in it the list of fields stands, its head included, and `d`'s digits.
-    pub command: Box<[u8]>,
+    pub(crate) command: Box<[u8]>,
     head: usize,
     fields: Range<usize>,
     deadline: Range<usize>,
-    pub customer: Name,
+    pub(crate) customer: Name,
     /// The id that the client gave it.
-    pub wire: u64,
-    pub class: usize,
-    pub plan: usize,
-    pub units: f64,
-    pub first: u32,
-    pub spread: u32,
-    pub repeat: bool,
+    pub(crate) wire: u64,
+    pub(crate) class: usize,
+    pub(crate) plan: usize,
+    pub(crate) units: f64,
+    pub(crate) first: u32,
+    pub(crate) spread: u32,
+    pub(crate) repeat: bool,
     /// How long the client waits, in ms.
-    pub wait: f64,
+    pub(crate) wait: f64,
 }
 
 impl Ask {
     /// Writes it for a worker: unchanged but for `d`, which tells how long we wait.
-    pub fn write(&self, wait: u64, out: &mut Vec<u8>) {
+    pub(crate) fn write(&self, wait: u64, out: &mut Vec<u8>) {
         let mut digits = Vec::with_capacity(20);
         resp::put_digits(&mut digits, wait);
         out.extend_from_slice(&self.command[..self.head]);
@@ -214,7 +214,7 @@
 
 impl Client {
     /// Gives the answer to a request, in its turn.
-    pub fn answer(&self, id: u64, bytes: &[u8]) {
+    pub(crate) fn answer(&self, id: u64, bytes: &[u8]) {
         self.used.set(Instant::now());
         let mut out = self.out.borrow_mut();
         if matches!(out.slots.front(), Some(Slot::Waiting(first)) if *first == id) {
@@ -310,7 +310,7 @@
     }
 
     /// Ends it where one of its times is up. `idle` is how long it may stand between requests.
-    fn look(&self, now: Instant, idle: Duration) {
+    fn expire(&self, now: Instant, idle: Duration) {
         let past = |since: Instant, most: Duration| now.saturating_duration_since(since) > most;
         let mut out = self.out.borrow_mut();
         if out.stuck.is_some_and(|since| past(since, SPEAK)) {
@@ -381,13 +381,18 @@
     pub async fn keep_time(self: Rc<Self>) {
         loop {
             sleep(LOOK).await;
-            let all = self.all.borrow();
-            let idle = if all.len() > self.most / 2 { IDLE_LEAST } else { IDLE_MOST };
-            let now = Instant::now();
-            all.values().for_each(|client| client.look(now, idle));
+            self.expire(Instant::now());
         }
     }
 
+    /// Ends the connections whose time is up by now.
+    pub fn expire(&self, now: Instant) {
+        let all = self.all.borrow();
+        let idle = if all.len() > self.most / 2 { IDLE_LEAST } else { IDLE_MOST };
+        all.values().for_each(|client| client.expire(now, idle));
+    }
+
+    /// Whether no connection is left.
     pub fn is_empty(&self) -> bool {
         self.all.borrow().is_empty()
     }
@@ -633,30 +638,3 @@
     };
     let _ = timeout(LINGER, read_on).await;
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::crossings::{ANY, PING, config, play, rest, unseen};
-
-    #[test]
-    fn a_command_that_has_come_as_its_time_to_speak_is_up_is_answered() {
-        play(async {
-            let door = TcpListener::bind(ANY).await.expect("a port");
-            let at = door.local_addr().expect("bound");
-            let gateway = Gateway::new(config(at), None, 8).expect("sound settings");
-            let clients = Clients::new(8, 1 << 20);
-            let accepting = clients.clone();
-            tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
-            let client = TcpStream::connect(at).await.expect("connected");
-            while clients.is_empty() {
-                tokio::task::yield_now().await;
-            }
-            let mut client = unseen(client, PING);
-            let up = Instant::now() + SPEAK + LOOK;
-            clients.all.borrow().values().for_each(|c| c.look(up, IDLE_MOST));
-            clients.close_soon();
-            assert_eq!(rest(&mut client).await, "+PONG\r\n");
-        });
-    }
-}
--- a/src/bin/frostvale/config.rs
+++ b/src/host/config.rs
@@ -1,7 +1,7 @@
 //! What the gatekeeper is told: GW_CONFIG and the variables that stand beside it.
 
-use crate::discovery::{self, Listed};
-use frostvale::{Conf, Settings};
+use crate::host::discovery::Update;
+use crate::{Conf, Settings};
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
@@ -42,18 +42,27 @@
 
 /// All that one gatekeeper is told.
 pub struct Config {
+    /// Its name, the same after a restart.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where the list of workers is had.
     pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
     pub seed: u64,
+    /// The most descriptors that the process may hold.
     pub sockets: usize,
+    /// The most memory that it may hold, in bytes.
     pub memory: usize,
     /// Where notes arrive, if notes are allowed.
     pub peer_listen: Option<SocketAddr>,
+    /// Where each gatekeeper of the tier takes notes, by number.
     pub peers: Vec<SocketAddr>,
     /// The list of workers as it was last had.
-    pub known: Option<Listed>,
+    pub known: Option<Update>,
+    /// The settings as they are written.
     pub conf: Conf,
+    /// What the module needs of them.
     pub settings: Settings,
 }
 
@@ -68,11 +77,17 @@
     }
 
     /// Reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand over it.
+    ///
+    /// # Errors
+    /// When it can't be used: one line that names the file and what is wrong.
     pub fn read() -> Result<Config, String> {
         Self::load(true)
     }
 
     /// Reads it once more. By now the file knows better than the environment of the start where discovery is.
+    ///
+    /// # Errors
+    /// As at the start.
     pub fn read_again() -> Result<Config, String> {
         Self::load(false)
     }
@@ -108,7 +123,7 @@
             memory: file.limits.memory_mb.clamp(32, 1 << 20) << 20,
             peer_listen,
             peers,
-            known: discovery::listed(&file.known),
+            known: Update::read(&file.known),
             conf: file.settings,
             settings,
         })
--- a/src/bin/frostvale/gateway.rs
+++ b/src/host/gateway.rs
@@ -1,23 +1,28 @@
 //! The host of the module: events go in, its actions are carried out. Owns the requests in hand, their
-//! attempts and one queue of timers for all of them. It decides nothing: `frostvale::Control` does.
-
-use crate::clients::{Ask, Client};
-use crate::config::Config;
-use crate::discovery::Listed;
-use crate::peers::Peers;
-use crate::resp::{self, Reply};
-use crate::workers::{self, Conn, Place, Refusal, Workers};
-use frostvale::*;
+//! attempts and one queue of timers for all of them. It decides nothing: `crate::Control` does.
+
+use crate::host::clients::{Ask, Client};
+use crate::host::config::Config;
+use crate::host::discovery::{Target, Update};
+use crate::host::peers::Peers;
+use crate::host::resp::{self, Reply};
+use crate::host::workers::{self, Conn, Place, Refusal, Workers};
+use crate::*;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout};
 
+/// How a connection to a worker is opened. Need not give up by itself.
+pub type Connect = Rc<dyn Fn(SocketAddr) -> Pin<Box<dyn Future<Output = std::io::Result<TcpStream>>>>>;
+
 /// The one owner of all state; every task borrows it for the length of one call.
 pub type Shared = Rc<RefCell<Gateway>>;
 
@@ -88,11 +93,14 @@
     Sweep,
 }
 
+/// One gatekeeper: the module and all that it decides about.
 pub struct Gateway {
     me: Weak<RefCell<Gateway>>,
     control: Control,
     clock: Clock,
+    /// The settings as they are written.
     pub conf: Conf,
+    /// What the module needs of them.
     pub settings: Settings,
     requests: HashMap<u64, InHand>,
     last_id: u64,
@@ -103,6 +111,7 @@
     /// The clients' ids of the requests in hand.
     open: HashSet<u64>,
     workers: Workers,
+    connect: Connect,
     peers: Option<Peers>,
     events: VecDeque<Event>,
     pumping: bool,
@@ -119,6 +128,10 @@
 }
 
 impl Gateway {
+    /// A gatekeeper that has just started, with so many connections to workers at the most.
+    ///
+    /// # Errors
+    /// When the settings hold a figure that cannot be acted on.
     pub fn new(config: Config, peers: Option<Peers>, connections: usize) -> Result<Shared, SettingsError> {
         let control = Control::new(config.settings.clone(), config.seed)?;
         let memory = config.memory_part();
@@ -136,6 +149,7 @@
                 ends: f64::INFINITY,
                 open: HashSet::new(),
                 workers: Workers::new(connections, memory),
+                connect: Rc::new(|at| Box::pin(TcpStream::connect(at))),
                 peers,
                 events: VecDeque::new(),
                 pumping: false,
@@ -152,10 +166,35 @@
         Ok(gateway)
     }
 
+    /// Unix time in milliseconds, which never steps back.
     pub fn now(&self) -> f64 {
         self.clock.now()
     }
 
+    /// Has connections to workers opened in another way than over TCP alone.
+    pub fn connect_by(&mut self, connect: Connect) {
+        self.connect = connect;
+    }
+
+    /// Takes a connection to a worker of the list into the pool. Nothing was asked on it, so that no late answer
+    /// can come and it need not rest.
+    pub fn adopt(&mut self, worker: &str, stream: TcpStream) {
+        let life = self.workers.get(worker).map(|w| w.life);
+        if let (Some(life), Some(place)) = (life, self.workers.place()) {
+            let conn = self.conn(stream, worker.into(), life, place);
+            self.workers.keep(&conn, self.clock.now() - REST_MS);
+        }
+    }
+
+    /// A connection that has come up, and is read from now on.
+    fn conn(&self, stream: TcpStream, worker: Name, life: u64, place: Place) -> Rc<Conn> {
+        let conn = Conn::new(stream, worker, life, place, self.workers.reading());
+        if let Some(gateway) = self.me.upgrade() {
+            conn.listen(gateway);
+        }
+        conn
+    }
+
     /// Whether nobody is owed an answer.
     pub fn settled(&self) -> bool {
         self.requests.values().all(|r| r.client.is_none())
@@ -171,12 +210,12 @@
     // ---- what happens outside ----
 
     /// News of the workers.
-    pub fn listed(&mut self, list: Listed) {
-        let (over, replaced) = self.workers.listed(&list);
+    pub fn update(&mut self, update: Update) {
+        let (over, replaced) = self.workers.update(&update);
         let number = |names: &[String], name: &str| {
             names.iter().position(|n| n == name).unwrap_or(names.len()).try_into().unwrap_or(u32::MAX)
         };
-        let server = |t: &crate::discovery::Target| Server {
+        let server = |t: &Target| Server {
             name: t.uid.as_str().into(),
             zone: number(&self.conf.areas, &t.zone),
             cell: t.cell,
@@ -185,7 +224,7 @@
             health: t.health,
             since: t.boot_ms,
         };
-        let mut servers: Vec<Server> = list.targets.iter().map(server).collect();
+        let mut servers: Vec<Server> = update.targets.iter().map(server).collect();
         // Whose address has a new owner is gone, whether or not that has been told.
         for line in servers.iter_mut().filter(|line| replaced.contains(&line.name)) {
             line.health = Health::Gone;
@@ -202,7 +241,7 @@
         let named = |name: &&Name| !servers.iter().any(|line| line.name == **name);
         let unnamed: Vec<Server> = replaced.iter().filter(named).map(gone).collect();
         servers.extend(unnamed);
-        let listing = if list.all { Listing::Complete } else { Listing::Changes };
+        let listing = if update.snapshot { Listing::Snapshot } else { Listing::Delta };
         self.event(Event::Servers { listing, servers });
         // What was out at a worker that has restarted since is never answered, and its connection is
         // half open if the whole machine went.
@@ -220,26 +259,26 @@
     }
 
     /// A number for a request, never used twice. The wire's ids are the clients': they may come again.
-    pub fn next_id(&mut self) -> u64 {
+    pub(crate) fn next_id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
     }
 
     /// Whether a request with this id of the client's is in hand, or an attempt of it is still out: a second
     /// one would reach a worker as a copy of the first.
-    pub fn is_open(&self, wire: u64) -> bool {
+    pub(crate) fn is_open(&self, wire: u64) -> bool {
         self.open.contains(&wire)
     }
 
     /// Whether one more request of this size can be held. Past it requests are turned away unseen, as the
     /// settings' most open requests demand, the memory does, and the end that is near.
-    pub fn has_room(&self, bytes: usize) -> bool {
+    pub(crate) fn has_room(&self, bytes: usize) -> bool {
         let time = self.now() < self.ends;
         time && self.requests.len() < self.conf.bounds.max_open && self.held + bytes <= self.held_most
     }
 
     /// A request came in whole.
-    pub fn request(&mut self, id: u64, ask: Ask, client: Rc<Client>) {
+    pub(crate) fn request(&mut self, id: u64, ask: Ask, client: Rc<Client>) {
         let give_up = (self.now() + ask.wait - MARGIN_MS).min(self.ends);
         let request = Request {
             id,
@@ -260,7 +299,7 @@
     }
 
     /// A client went away with this request open. Nothing more goes out for it.
-    pub fn left(&mut self, id: u64) {
+    pub(crate) fn left(&mut self, id: u64) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         if r.client.take().is_none() {
             return;
@@ -271,7 +310,7 @@
     }
 
     /// A worker answered on a connection. `clean`: with nothing behind it.
-    pub fn answered(&mut self, conn: &Rc<Conn>, reply: Reply, bytes: &[u8], clean: bool) {
+    pub(crate) fn answered(&mut self, conn: &Rc<Conn>, reply: Reply, bytes: &[u8], clean: bool) {
         let Some(id) = conn.busy.take() else { return };
         let line = match &reply {
             Reply::Served { .. } => None,
@@ -301,7 +340,7 @@
     }
 
     /// A connection to a worker has ended, perhaps over bytes that are no answer.
-    pub fn worker_closed(&mut self, conn: &Rc<Conn>, spoilt: Option<&'static str>) {
+    pub(crate) fn worker_closed(&mut self, conn: &Rc<Conn>, spoilt: Option<&'static str>) {
         self.workers.forget(conn);
         if let Some(what) = spoilt {
             // A line for each would be a flood of its own.
@@ -407,9 +446,10 @@
         let part = (CONNECT_PART * (not_past - now)).max(CONNECT_LEAST_MS);
         let most = self.conf.bounds.connect_timeout.clamp(1.0, 60_000.0).min(part);
         let most = Duration::from_secs_f64(most / 1000.0);
+        let coming = (self.connect)(address);
         tokio::task::spawn_local(async move {
             // A machine that has vanished never answers: the settings say how long to try.
-            let stream = timeout(most, TcpStream::connect(address)).await.ok().and_then(Result::ok);
+            let stream = timeout(most, coming).await.ok().and_then(Result::ok);
             gateway.borrow_mut().connected(id, number, server, life, place, stream);
         });
     }
@@ -425,11 +465,7 @@
     ) {
         let attempt = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
         let waits = attempt.is_some_and(|a| a.number == number && a.conn.is_none());
-        let reading = self.workers.reading();
-        let conn = stream.map(|stream| Conn::new(stream, server, life, place, reading));
-        if let (Some(conn), Some(gateway)) = (&conn, self.me.upgrade()) {
-            conn.listen(gateway);
-        }
+        let conn = stream.map(|stream| self.conn(stream, server, life, place));
         match conn {
             // The worker may have begun to drain, or have restarted, while this took its time: `begin` looks.
             Some(conn) if waits => {
@@ -649,112 +685,3 @@
         self.attempt.as_ref().is_some_and(|a| a.conn.is_some() && workers.contains(&a.server))
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::clients::Clients;
-    use crate::crossings::{ANY, LONG, config, play};
-    use crate::discovery::Target;
-    use socket2::SockRef;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-
-    /// A gateway that knows one worker, with a connection to it that takes little at once, and the worker's end.
-    async fn narrow(listener: &TcpListener) -> (Shared, TcpStream) {
-        SockRef::from(listener).set_recv_buffer_size(4096).expect("a socket");
-        let at = listener.local_addr().expect("bound");
-        let gateway = Gateway::new(config(at), None, 8).expect("sound settings");
-        let worker = Target {
-            uid: "s-1".into(),
-            endpoint: at,
-            zone: String::new(),
-            model: String::new(),
-            cell: 0,
-            health: Health::Up,
-            size: 1.0,
-            boot_ms: 0.0,
-        };
-        gateway.borrow_mut().listed(Listed { rev: 1, all: true, targets: vec![worker] });
-        let stream = TcpStream::connect(at).await.expect("connected");
-        SockRef::from(&stream).set_send_buffer_size(4096).expect("a socket");
-        let (far, _) = listener.accept().await.expect("connected");
-        let mut g = gateway.borrow_mut();
-        let (place, reading) = (g.workers.place().expect("room"), g.workers.reading());
-        let conn = Conn::new(stream, "s-1".into(), 0, place, reading);
-        conn.listen(gateway.clone());
-        // It has rested for long.
-        g.workers.keep(&conn, 0.0);
-        drop(g);
-        (gateway, far)
-    }
-
-    /// A client that has sent a request of this class, with so long a body.
-    async fn asked(gateway: &Shared, class: &str, body: usize) -> (Rc<Clients>, TcpStream) {
-        let door = TcpListener::bind(ANY).await.expect("a port");
-        let at = door.local_addr().expect("bound");
-        let clients = Clients::new(8, 1 << 20);
-        let (accepting, gateway) = (clients.clone(), gateway.clone());
-        tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
-        let mut client = TcpStream::connect(at).await.expect("connected");
-        let fields = format!("c={class},t=p,d=8000,k=1,units=1,spread=1,first=0");
-        let mut command = b"*5\r\n".to_vec();
-        for part in ["Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", &fields] {
-            resp::put_bulk(&mut command, part.as_bytes());
-        }
-        resp::put_bulk(&mut command, &vec![b'x'; body]);
-        client.write_all(&command).await.expect("written");
-        (clients, client)
-    }
-
-    #[test]
-    fn the_rest_of_a_command_is_not_written_once_its_client_has_left() {
-        play(async {
-            let workers = TcpListener::bind(ANY).await.expect("a port");
-            let (gateway, mut far) = narrow(&workers).await;
-            let (clients, client) = asked(&gateway, "pay", 60_000).await;
-            far.readable().await.expect("the command has begun");
-            drop(client);
-            timeout(LONG, clients.one_left()).await.expect("its end is seen");
-            let mut came = Vec::new();
-            let ended = timeout(LONG, far.read_to_end(&mut came)).await;
-            assert!(ended.is_ok(), "the connection stays open, {} bytes came", came.len());
-            assert!(resp::command(&came).is_ok_and(|whole| whole.is_none()), "it came whole");
-        });
-    }
-
-    /// Whether a further attempt is written on a connection that comes up so long after the first one began.
-    async fn repeated_after(ms: f64) -> bool {
-        let workers = TcpListener::bind(ANY).await.expect("a port");
-        let (gateway, far) = narrow(&workers).await;
-        let (_clients, _client) = asked(&gateway, "order", 4).await;
-        far.readable().await.expect("the first attempt");
-        let late = TcpStream::connect(workers.local_addr().expect("bound")).await.expect("connected");
-        let (mut end, _) = workers.accept().await.expect("connected");
-        {
-            let mut g = gateway.borrow_mut();
-            let (now, place) = (g.now(), g.workers.place().expect("room"));
-            let (&id, r) = g.requests.iter_mut().next().expect("in hand");
-            // As if the first attempt had failed, and the connection for this one had been coming up since.
-            r.ran = Some(now - ms);
-            r.attempt = Some(Attempt {
-                number: 1,
-                server: "s-1".into(),
-                started: now,
-                not_past: now + 5000.0,
-                conn: None,
-            });
-            g.connected(id, 1, "s-1".into(), 0, place, Some(late));
-        }
-        let mut byte = [0];
-        timeout(LONG, end.read(&mut byte)).await.expect("it is closed or used").is_ok_and(|n| n > 0)
-    }
-
-    #[test]
-    fn a_keyed_request_is_not_repeated_once_its_window_passed_as_a_connection_came_up() {
-        play(async {
-            assert!(repeated_after(100.0).await);
-            assert!(!repeated_after(900.0).await);
-        });
-    }
-}
--- a/src/bin/frostvale/peers.rs
+++ b/src/host/peers.rs
@@ -1,6 +1,6 @@
 //! Notes between gatekeepers: one UDP socket, datagrams of at most 256 bytes.
 
-use crate::gateway::Shared;
+use crate::host::gateway::Shared;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -16,6 +16,10 @@
 }
 
 impl Peers {
+    /// Takes notes at an address, and sends them to these, by number.
+    ///
+    /// # Errors
+    /// When the address is taken or not this machine's.
     pub async fn bind(listen: SocketAddr, addresses: Vec<SocketAddr>) -> std::io::Result<Peers> {
         Ok(Peers { socket: Rc::new(UdpSocket::bind(listen).await?), addresses })
     }
--- a/src/bin/frostvale/workers.rs
+++ b/src/host/workers.rs
@@ -1,11 +1,11 @@
 //! Workers: what the list says of each, their pooled connections, and the reading of answers.
 //! A connection carries one attempt at a time, so that giving up one can close it.
 
-use crate::budget::{Budget, Share};
-use crate::discovery::{Listed, Target};
-use crate::gateway::Shared;
-use crate::resp::{self, VALUE_MOST};
-use frostvale::{Health, Name, Report};
+use crate::host::budget::{Budget, Share};
+use crate::host::discovery::{Target, Update};
+use crate::host::gateway::Shared;
+use crate::host::resp::{self, VALUE_MOST};
+use crate::{Health, Name, Report};
 use socket2::SockRef;
 use std::cell::{Cell, OnceCell};
 use std::collections::HashMap;
@@ -22,23 +22,23 @@
 const KEPT: usize = 8 * 1024;
 
 /// A connection to a worker.
-pub struct Conn {
-    pub stream: TcpStream,
-    pub worker: Name,
+pub(crate) struct Conn {
+    pub(crate) stream: TcpStream,
+    pub(crate) worker: Name,
     /// The life of the worker it was made in.
-    pub life: u64,
+    pub(crate) life: u64,
     /// The request whose attempt it carries.
-    pub busy: Cell<Option<u64>>,
+    pub(crate) busy: Cell<Option<u64>>,
     /// Whether the attempt's last byte is written: before that it surely never ran.
-    pub written: Cell<bool>,
-    pub idle_since: Cell<f64>,
+    pub(crate) written: Cell<bool>,
+    pub(crate) idle_since: Cell<f64>,
     task: OnceCell<AbortHandle>,
     reading: Share,
     _place: Place,
 }
 
 /// A descriptor's place: counted from before the connect until the connection is really closed.
-pub struct Place(Rc<Cell<usize>>);
+pub(crate) struct Place(Rc<Cell<usize>>);
 
 impl Drop for Place {
     fn drop(&mut self) {
@@ -141,7 +141,7 @@
 }
 
 /// What the list says of a worker, and the connections to it that wait.
-pub struct Worker {
+pub(crate) struct Worker {
     pub address: SocketAddr,
     pub health: Health,
     /// Grows with each restart and each new address: connections of an earlier life are of no use.
@@ -151,7 +151,7 @@
 }
 
 /// All workers that the list has named.
-pub struct Workers {
+pub(crate) struct Workers {
     all: HashMap<Name, Worker>,
     open: Rc<Cell<usize>>,
     most: usize,
@@ -176,16 +176,16 @@
 
     /// Takes the list's news. Gives the workers whose former life has ended, and those whose address is now
     /// that of another one, which started later.
-    pub fn listed(&mut self, list: &Listed) -> (Vec<Name>, Vec<Name>) {
-        if list.all {
+    pub fn update(&mut self, update: &Update) -> (Vec<Name>, Vec<Name>) {
+        if update.snapshot {
             for (name, worker) in &mut self.all {
-                if !list.targets.iter().any(|t| *t.uid == **name) {
+                if !update.targets.iter().any(|t| *t.uid == **name) {
                     worker.health = Health::Gone;
                 }
             }
         }
         let (mut over, mut fresh_ones) = (Vec::new(), Vec::new());
-        for Target { uid, endpoint, health, boot_ms, .. } in &list.targets {
+        for Target { uid, endpoint, health, boot_ms, .. } in &update.targets {
             let fresh = || Worker {
                 address: *endpoint,
                 health: *health,
@@ -282,7 +282,7 @@
 }
 
 /// What an error line says.
-pub enum Refusal {
+pub(crate) enum Refusal {
     /// Turned away unseen: only this exact word, with a report or none, means that it never ran.
     Busy(Option<Report>),
     /// A failure in the worker's own words.
@@ -292,7 +292,7 @@
 }
 
 /// Reads an error line, without its sign and end.
-pub fn refusal(line: &[u8]) -> Refusal {
+pub(crate) fn refusal(line: &[u8]) -> Refusal {
     let mut words = line.split(|b| *b == b' ');
     let first = words.next().unwrap_or_default();
     let last = words.next_back();
@@ -311,13 +311,13 @@
 }
 
 /// The true units that figures on use tell, if they can be so many.
-pub fn cost(text: &[u8], most: f64) -> Option<f64> {
+pub(crate) fn cost(text: &[u8], most: f64) -> Option<f64> {
     let (_, cost) = figures(text).find(|(name, _)| *name == "cost")?;
     cost.filter(|units| *units > 0.0 && *units <= most)
 }
 
 /// A load report.
-pub fn report(text: &[u8]) -> Option<Report> {
+pub(crate) fn report(text: &[u8]) -> Option<Report> {
     let mut report = Report::default();
     for (name, figure) in figures(text) {
         match name {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 //! };
 //! let mut gateway = Control::new(settings, 7)?;
 //! let server = Server { name: "s1".into(), zone: 0, cell: 0, kind: 0, size: 1.0, health: Health::Up, since: 0.0 };
-//! gateway.handle(0.0, Event::Servers { listing: Listing::Complete, servers: vec![server] });
+//! gateway.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers: vec![server] });
 //! let actions = gateway.handle(1.0, Event::Request(Request {
 //!     id: 1, customer: "acme".into(), class: 0, plan: 0, units: 1.0,
 //!     first: 0, spread: 1, give_up: 1000.0, repeat: false,
@@ -32,6 +32,7 @@
 mod api;
 mod conf;
 mod control;
+pub mod host;
 mod note;
 mod state;
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -168,7 +168,7 @@
         .map(|me| {
             let cfg = Settings { me, ..cfg.clone() };
             let mut g = Control::new(cfg, seed.wrapping_mul(97) + u64::from(me)).expect("sound settings");
-            g.handle(0.0, Event::Servers { listing: Listing::Complete, servers: servers.clone() });
+            g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers: servers.clone() });
             g
         })
         .collect();
@@ -314,7 +314,7 @@
     let mut g = Control::new(Settings { me: 0, ..settings() }, 7).expect("sound settings");
     let line =
         Server { name: "s".into(), zone: 0, cell: 0, kind: 0, size: 1.0, health: Health::Up, since: 0.0 };
-    g.handle(0.0, Event::Servers { listing: Listing::Complete, servers: vec![line] });
+    g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers: vec![line] });
     let (mut timers, mut due) = (Vec::new(), Vec::new());
     for id in 0..3000u64 {
         // Each customer asks once, two a second, and no peer is heard.
--- /dev/null
+++ b/tests/host/budget.rs
@@ -0,0 +1,14 @@
+//! Memory that many holders share.
+
+use frostvale::host::budget::Budget;
+
+#[test]
+fn who_holds_much_gives_way_and_gives_all_back() {
+    let budget = Budget::new(100);
+    let (small, large) = (budget.share(), budget.share());
+    assert!(large.set(90, 20));
+    assert!(small.set(20, 20), "a little is left to everyone");
+    assert!(!large.set(91, 20));
+    drop(large);
+    assert!(small.set(80, 20));
+}
--- /dev/null
+++ b/tests/host/gateway.rs
@@ -0,0 +1,113 @@
+//! The gatekeeper between its clients and workers, where the order of events has to be forced.
+
+use crate::support::*;
+use frostvale::Health;
+use frostvale::host::clients::Clients;
+use frostvale::host::discovery::{Target, Update};
+use frostvale::host::gateway::{Gateway, Shared};
+use frostvale::host::resp;
+use socket2::SockRef;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until, timeout};
+
+fn worker(at: SocketAddr) -> Target {
+    Target {
+        uid: "s-1".into(),
+        endpoint: at,
+        zone: String::new(),
+        model: String::new(),
+        cell: 0,
+        health: Health::Up,
+        size: 1.0,
+        boot_ms: 0.0,
+    }
+}
+
+/// A gateway that knows one worker, with a connection to it that takes little at once, and the worker's end.
+async fn narrow(listener: &TcpListener) -> (Shared, TcpStream) {
+    SockRef::from(listener).set_recv_buffer_size(4096).expect("a socket");
+    let at = listener.local_addr().expect("bound");
+    let gateway = Gateway::new(config(at), None, 8).expect("sound settings");
+    gateway.borrow_mut().update(Update { rev: 1, snapshot: true, targets: vec![worker(at)] });
+    let stream = TcpStream::connect(at).await.expect("connected");
+    SockRef::from(&stream).set_send_buffer_size(4096).expect("a socket");
+    let (far, _) = listener.accept().await.expect("connected");
+    gateway.borrow_mut().adopt("s-1", stream);
+    (gateway, far)
+}
+
+/// A client that has sent a request of this class, with so long a body.
+async fn asked(gateway: &Shared, class: &str, body: usize) -> (Rc<Clients>, TcpStream) {
+    let door = TcpListener::bind(ANY).await.expect("a port");
+    let at = door.local_addr().expect("bound");
+    let clients = Clients::new(8, 1 << 20);
+    let (accepting, gateway) = (clients.clone(), gateway.clone());
+    tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
+    let mut client = TcpStream::connect(at).await.expect("connected");
+    let fields = format!("c={class},t=p,d=8000,k=1,units=1,spread=1,first=0");
+    let mut command = b"*5\r\n".to_vec();
+    for part in ["Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", &fields] {
+        resp::put_bulk(&mut command, part.as_bytes());
+    }
+    resp::put_bulk(&mut command, &vec![b'x'; body]);
+    client.write_all(&command).await.expect("written");
+    (clients, client)
+}
+
+#[test]
+fn the_rest_of_a_command_is_not_written_once_its_client_has_left() {
+    play(async {
+        let workers = TcpListener::bind(ANY).await.expect("a port");
+        let (gateway, mut far) = narrow(&workers).await;
+        let (clients, client) = asked(&gateway, "pay", 60_000).await;
+        far.peek(&mut [0]).await.expect("the command has begun");
+        drop(client);
+        timeout(LONG, clients.one_left()).await.expect("its end is seen");
+        let mut came = Vec::new();
+        let ended = timeout(LONG, far.read_to_end(&mut came)).await;
+        assert!(ended.is_ok(), "the connection stays open, {} bytes came", came.len());
+        assert!(resp::command(&came).is_ok_and(|whole| whole.is_none()), "it came whole");
+    });
+}
+
+/// Whether a further attempt is written on a connection that comes up so long after the first one began.
+async fn repeated_after(class: &str, ms: u64) -> bool {
+    let workers = TcpListener::bind(ANY).await.expect("a port");
+    let (gateway, first) = narrow(&workers).await;
+    let (asks, mut asked_for) = mpsc::unbounded_channel();
+    let (up, goes_up) = watch::channel(false);
+    gateway.borrow_mut().connect_by(Rc::new(move |at| {
+        let (asks, mut goes_up) = (asks.clone(), goes_up.clone());
+        Box::pin(async move {
+            let _ = asks.send(());
+            let _ = goes_up.wait_for(|up| *up).await;
+            TcpStream::connect(at).await
+        })
+    }));
+    let (_clients, _client) = asked(&gateway, class, 4).await;
+    first.peek(&mut [0]).await.expect("the first attempt");
+    let begun = Instant::now();
+    // It may have run: a further attempt goes to the other worker of its cell, as soon as there is a connection.
+    let other = Target { uid: "s-2".into(), ..worker(workers.local_addr().expect("bound")) };
+    gateway.borrow_mut().update(Update { rev: 2, snapshot: false, targets: vec![other] });
+    drop(first);
+    timeout(LONG, asked_for.recv()).await.expect("a further attempt").expect("open");
+    sleep_until(begun + Duration::from_millis(ms)).await;
+    up.send_replace(true);
+    let (mut end, _) = workers.accept().await.expect("connected");
+    let mut byte = [0];
+    timeout(LONG, end.read(&mut byte)).await.expect("it is closed or used").is_ok_and(|n| n > 0)
+}
+
+#[test]
+fn a_keyed_request_is_not_repeated_once_its_window_passed_as_a_connection_came_up() {
+    play(async {
+        assert!(repeated_after("order", 100).await);
+        assert!(!repeated_after("brief", 1000).await);
+    });
+}
--- /dev/null
+++ b/tests/host/support.rs
@@ -0,0 +1,62 @@
+//! What the tests of the host share.
+
+use frostvale::Conf;
+use frostvale::host::config::Config;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+/// Nothing here waits this long unless it has failed.
+pub const LONG: Duration = Duration::from_secs(20);
+pub const ANY: &str = "127.0.0.1:0";
+pub const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
+
+/// What a gatekeeper that is alone is told.
+pub fn config(here: SocketAddr) -> Config {
+    let conf: Conf = serde_json::from_value(serde_json::json!({
+        "Balancers": 1,
+        "Bounds": {"ConnectTimeout": 5000.0},
+        "Classes": [
+            {"Name": "pay", "Target": 8000.0, "Effect": "once", "Worth": 1.0},
+            {"Name": "order", "Target": 8000.0, "Effect": "by_key", "Window": 60_000.0, "Worth": 1.0},
+            {"Name": "brief", "Target": 8000.0, "Effect": "by_key", "Window": 900.0, "Worth": 1.0},
+        ],
+        "Plans": [{"Name": "p", "UnitsPerS": 10.0, "PeakUnits": 10.0, "ValueFactor": 1.0}],
+    }))
+    .expect("sound settings");
+    Config {
+        name: String::new(),
+        listen: here,
+        discovery: here,
+        seed: 1,
+        sockets: 64,
+        memory: 32 << 20,
+        peer_listen: None,
+        peers: Vec::new(),
+        known: None,
+        settings: conf.settings(),
+        conf,
+    }
+}
+
+pub fn play(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Writes at once, so that the runtime has seen nothing of it.
+pub fn unseen(client: TcpStream, bytes: &[u8]) -> TcpStream {
+    let mut client = client.into_std().expect("a socket");
+    client.write_all(bytes).expect("written");
+    TcpStream::from_std(client).expect("a socket")
+}
+
+pub async fn rest(client: &mut TcpStream) -> String {
+    let mut rest = String::new();
+    timeout(LONG, client.read_to_string(&mut rest)).await.expect("it is closed").expect("and not reset");
+    rest
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -42,7 +42,7 @@
 fn gateway(cfg: Settings) -> Control {
     let mut g = Control::new(cfg, 11).expect("sound settings");
     let servers = vec![line("a", 0), line("b", 0), line("c", 1)];
-    g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+    g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers });
     g
 }
 
@@ -630,7 +630,7 @@
     for seed in 0..40u64 {
         let mut g = Control::new(settings(), seed).expect("sound");
         let servers = vec![line("a", 0), line("b", 0), line("c", 1), line("d", 1)];
-        g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+        g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers });
         let server = sent(&g.handle(0.0, ask(1, 2, 0, 0.0))).expect("sent");
         let next = sent(&g.handle(10.0, end(1, &server, Ending::Error, 10.0))).expect("a second attempt");
         let zone = |s: &str| s == "c" || s == "d";
@@ -647,10 +647,10 @@
 fn nothing_new_goes_to_a_draining_or_missing_server() {
     let mut g = gateway(settings());
     let draining = Server { health: Health::Draining, ..line("a", 0) };
-    g.handle(1.0, Event::Servers { listing: Listing::Changes, servers: vec![draining] });
-    g.handle(2.0, Event::Servers { listing: Listing::Complete, servers: vec![line("a", 0), line("b", 0)] });
+    g.handle(1.0, Event::Servers { listing: Listing::Delta, servers: vec![draining] });
+    g.handle(2.0, Event::Servers { listing: Listing::Snapshot, servers: vec![line("a", 0), line("b", 0)] });
     let gone = Server { health: Health::Gone, ..line("a", 0) };
-    g.handle(3.0, Event::Servers { listing: Listing::Changes, servers: vec![gone] });
+    g.handle(3.0, Event::Servers { listing: Listing::Delta, servers: vec![gone] });
     for k in 0..50 {
         let to = sent(&g.handle(4.0, ask(k, 0, 0, 4.0)));
         assert!(to.is_none() || to.as_deref() == Some("b"), "{to:?}");
@@ -664,7 +664,7 @@
         assert!(serve(&mut g, k, 0, 0, 10_000.0 + k as f64 * 10.0));
     }
     let fresh = Server { since: 13_000.0, ..line("d", 0) };
-    g.handle(13_000.0, Event::Servers { listing: Listing::Changes, servers: vec![fresh] });
+    g.handle(13_000.0, Event::Servers { listing: Listing::Delta, servers: vec![fresh] });
     let mut cold = 0u32;
     for k in 0..100u64 {
         let now = 13_000.0 + k as f64 * 10.0;
@@ -760,7 +760,7 @@
     let run = |seed| {
         let mut g = Control::new(settings(), seed).expect("sound");
         let servers = vec![line("a", 0), line("b", 0), line("c", 1)];
-        let mut all = g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+        let mut all = g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers });
         for k in 0..200u64 {
             all.extend(g.handle(k as f64, ask(k, (k % 3) as usize, 0, k as f64)));
         }
@@ -793,7 +793,7 @@
         let mut g = Control::new(cfg, u64::from(me) + 1).expect("sound settings");
         let mut servers: Vec<Server> = (0..10).map(|k| line(&format!("s{k}"), 0)).collect();
         servers.push(Server { since: 13_000.0, ..line("cold", 0) });
-        g.handle(13_000.0, Event::Servers { listing: Listing::Complete, servers });
+        g.handle(13_000.0, Event::Servers { listing: Listing::Snapshot, servers });
         for k in 0..5u64 {
             let now = 13_000.0 + 200.0 * k as f64 + f64::from(me % 200);
             let Event::Request(r) = ask(k, 0, 0, now) else { unreachable!() };
@@ -818,7 +818,7 @@
             Event::Request(r) => Event::Request(Request { first: *me, spread: 1, ..r }),
             other => other,
         };
-        g.handle(0.0, Event::Servers { listing: Listing::Complete, servers: vec![line("old", 0)] });
+        g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers: vec![line("old", 0)] });
         for k in 0..4u64 {
             let now = 2000.0 + 3000.0 * k as f64;
             let server = sent(&g.handle(now, at(k, now))).expect("sent");
@@ -826,7 +826,7 @@
         }
         let draining = Server { health: Health::Draining, ..line("old", 0) };
         let servers = vec![draining, Server { since: 15_000.0, ..line("new", 0) }];
-        g.handle(15_500.0, Event::Servers { listing: Listing::Complete, servers });
+        g.handle(15_500.0, Event::Servers { listing: Listing::Snapshot, servers });
         sent(&g.handle(24_000.0, at(100, 24_000.0))).is_some()
     });
     let taken = taken.count();
@@ -842,7 +842,7 @@
         let mut g =
             Control::new(Settings { gateways: 100, me, ..settings() }, u64::from(me) + 1).expect("sound");
         let lines = (0..60).map(|k| Server { size: size(k), ..line(&format!("s{k:02}"), 0) });
-        g.handle(0.0, Event::Servers { listing: Listing::Complete, servers: lines.collect() });
+        g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers: lines.collect() });
         let mut own = std::collections::BTreeSet::new();
         for k in 0..100u64 {
             let now = 200.0 * k as f64;
@@ -878,7 +878,7 @@
 fn a_busy_gateway_of_a_hundred_does_not_take_the_whole_fleet_for_busy() {
     let mut g = Control::new(Settings { gateways: 100, ..settings() }, 3).expect("sound settings");
     let servers = (0..60).map(|k| line(&format!("s{k:02}"), 0)).collect();
-    g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+    g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers });
     // Forty a second while each answer takes 150 ms: six are out on average, at ten servers or more.
     let mut out = std::collections::VecDeque::new();
     for k in 0..400u64 {
@@ -900,7 +900,7 @@
     let slow_part = |seed: u64| {
         let mut g = Control::new(Settings { gateways: 100, ..settings() }, seed).expect("sound settings");
         let servers = (0..12).map(|k| line(&format!("s{k:02}"), 0)).collect();
-        g.handle(0.0, Event::Servers { listing: Listing::Complete, servers });
+        g.handle(0.0, Event::Servers { listing: Listing::Snapshot, servers });
         // Two a second: each server has an answer every six seconds, and s05 takes ten times as long.
         let slow = (0..70u64).filter(|k| {
             let now = 10_000.0 + 500.0 * *k as f64;
@@ -962,7 +962,7 @@
             Control::new(Settings { gateways: 2, me, ..cfg.clone() }, 0x5eed << life).expect("sound");
         let servers = vec![line("a", 0)];
         let now = 1000.0 + 100.0 * life as f64;
-        pair.both[who].handle(now, Event::Servers { listing: Listing::Complete, servers });
+        pair.both[who].handle(now, Event::Servers { listing: Listing::Snapshot, servers });
         through(&mut pair, who, 10 + life, now)
     });
     let sent: usize = lives.sum();
