Have every gatekeeper told within 6 s of when discovery can be reached again

Cause: where lists must be asked for, the mean wait after failures grew with the fleet up to `MustAskIn` (10 s for 300, lots of half as much again on top), after 3 s of patience, and after up to 1 s for the connection and 3 for the list. Ruled out: the service itself, which takes 10 ms for a call and 3 s for all of them.

Change: from when a call that failed began, or a watch was last heard, to the next call it is 4.5 s at the most, however many gatekeepers there are; the whole list has to be there 3 s after the call's beginning (or 1 s after a late head). While calls fail, all wait 10 ms for each gatekeeper on average, up to that bound. A watch that says anything resets the waits. The first call at a new address is spread as the first one of a process is.

--- a/src/host/backoff.rs
+++ b/src/host/backoff.rs
@@ -11,8 +11,13 @@
 /// The shortest and the longest mean wait of a gatekeeper that is alone with the service.
 const LEAST: Duration = Duration::from_millis(100);
 const MOST: Duration = Duration::from_secs(1);
-/// All gatekeepers together ask no more often than about once in this time while the service turns them away.
-const APART: Duration = Duration::from_millis(100);
+/// While the service fails, the waits of all gatekeepers grow to so much for each of them: one that can answer
+/// a call in this time comes back before them all.
+const APART: Duration = Duration::from_millis(10);
+/// From when a call that failed began, or a watch was last heard, to the next call at the most. Whatever fails,
+/// a change counts as told 6 s after discovery could be reached: what is left is for the answer. It stands
+/// above the price of calls.
+const REACH: Duration = Duration::from_millis(4500);
 /// The first calls, when many may have started at one stroke, lie so far apart on average: a release of 70 in
 /// 100 then gets through within the service's patience (at 15 ms a third failed and came again seconds later).
 const FIRST_APART: Duration = Duration::from_millis(30);
@@ -51,14 +56,14 @@
             Discovery::Subscribe => {
                 let told = time(conf.rules.must_ask_in);
                 let first = (FIRST_APART * (gateways - 1)).min(told / ASK_PART);
-                let most = MOST.max(APART * gateways).min(told);
-                (first, LEAST.max(APART * gateways / 10).min(most), most, SERVICE)
+                let most = MOST.max(APART * gateways).min(told).min(longest(Duration::ZERO));
+                (first, LEAST.max(APART * gateways).min(most), most, SERVICE)
             }
         };
         Backoff { rng: Pcg64Mcg::seed_from_u64(seed), first, least, most, mean: least, patience }
     }
 
-    /// How long to wait before the first call of a process.
+    /// How long to wait before the first call of a process, or at a new address.
     pub fn first(&mut self) -> Duration {
         self.first.mul_f64(self.rng.random())
     }
@@ -73,10 +78,16 @@
         self.mean = self.least;
     }
 
-    /// How long to wait after a failure.
-    pub fn wait(&mut self) -> Duration {
-        let wait = self.mean.mul_f64(self.rng.random_range(0.5..1.5));
+    /// How long to wait after a failure, where the call that failed began, or its watch was last heard, so long
+    /// ago.
+    pub fn wait(&mut self, spent: Duration) -> Duration {
+        let wait = self.mean.min(longest(spent)).mul_f64(self.rng.random_range(0.5..1.5));
         self.mean = (2 * self.mean).min(self.most);
         wait
     }
 }
+
+/// The longest mean wait with which the next call comes in time. The lots reach half as far again.
+fn longest(spent: Duration) -> Duration {
+    REACH.saturating_sub(spent) * 2 / 3
+}
--- a/src/host/discovery.rs
+++ b/src/host/discovery.rs
@@ -19,8 +19,14 @@
 
 /// A machine that is cut off says nothing: no connection within this time is a failure.
 const CONNECT: Duration = Duration::from_secs(1);
+/// The whole list has to be there within the first of these of the call's beginning, or within the second of its
+/// head, where that came late: with the wait that follows a call that hangs, another one has its answer 6 s
+/// after discovery could be reached again.
+const LIST: Duration = Duration::from_secs(3);
+const LIST_BODY: Duration = Duration::from_secs(1);
 /// An empty line comes every 2 s. Once one is late by half of that the watch is dead, whatever TCP thinks. What
-/// it misses counts as told 6 s after its last word: that leaves time for two calls that hang as well.
+/// it misses counts as told 6 s after its last word: that leaves time for the wait before another call, and
+/// where an agent is asked for two calls that hang as well.
 const QUIET: Duration = Duration::from_secs(3);
 /// The longest line or list that is read: an endless one must not fill the memory.
 const LIST_MOST: usize = 4 << 20;
@@ -126,12 +132,11 @@
     mut take: impl FnMut(Update),
     mut at: watch::Receiver<SocketAddr>,
     mut rev: Option<u64>,
-    mut backoff: Backoff,
+    backoff: Backoff,
 ) {
-    // Where there is a list to begin with, the others that start now may go first.
-    if rev.is_some() {
-        sleep(backoff.first()).await;
-    }
+    // Where there is a list to begin with, others that start or move at the same time may go first.
+    let mut spread = rev.is_some();
+    let mut backoff = backoff;
     loop {
         let address = *at.borrow_and_update();
         let mut calls =
@@ -142,8 +147,9 @@
                 if moved.is_err() {
                     return;
                 }
+                spread = true;
             }
-            () = calls.follow() => {}
+            () = calls.follow(spread) => {}
         }
     }
 }
@@ -160,13 +166,17 @@
 
 impl<C: Connect, T: FnMut(Update)> Calls<'_, C, T> {
     /// Follows discovery without end.
-    async fn follow(&mut self) {
+    async fn follow(&mut self, spread: bool) {
         let mut complained = false;
         self.backoff.reset();
+        if spread {
+            sleep(self.backoff.first()).await;
+        }
         loop {
-            let mut heard = false;
-            let ended = self.call(&mut heard).await;
-            if heard {
+            let begun = Instant::now();
+            let mut last = None;
+            let ended = self.call(&mut last).await;
+            if last.is_some() {
                 self.backoff.reset();
                 complained = false;
             }
@@ -175,13 +185,13 @@
             {
                 eprintln!("frostvale: discovery at {}: {e}; trying again", self.address);
             }
-            sleep(self.backoff.wait()).await;
+            sleep(self.backoff.wait(last.unwrap_or(begun).elapsed())).await;
         }
     }
 
-    /// One connection: the snapshot if there is none to build on, then a watch until it ends. `heard` tells
-    /// whether it gave any.
-    async fn call(&mut self, heard: &mut bool) -> Result<(), String> {
+    /// One connection: the snapshot if there is none to build on, then a watch until it ends. `last` tells when
+    /// it last said something.
+    async fn call(&mut self, last: &mut Option<Instant>) -> Result<(), String> {
         let begun = Instant::now();
         let stream = by(begun + CONNECT, "connecting", self.connect.connect(self.address)).await?;
         let (mut call, connection) =
@@ -194,11 +204,10 @@
         });
         if self.rev.is_none() {
             let body = self.get(&mut call, "/v1/servers").await?.into_body();
-            let text = by(Instant::now() + QUIET, "the list", Limited::new(body, LIST_MOST).collect())
-                .await?
-                .to_bytes();
+            let whole = (begun + LIST).max(Instant::now() + LIST_BODY);
+            let text = by(whole, "the list", Limited::new(body, LIST_MOST).collect()).await?.to_bytes();
             let value = serde_json::from_slice(&text).map_err(|e| format!("the list is no JSON: {e}"))?;
-            self.heard(Update::read(&value).ok_or("the list is none")?, heard);
+            self.heard(Update::read(&value).ok_or("the list is none")?, last);
             by(Instant::now() + CONNECT, "the list", call.ready()).await?;
         }
         let path = format!("/v1/servers?stream=1&index={}", self.rev.unwrap_or(0));
@@ -213,8 +222,8 @@
             for piece in data.split_inclusive(|b| *b == b'\n') {
                 match frames.decode(piece)? {
                     None => continue,
-                    Some(Frame::KeepAlive) => {}
-                    Some(Frame::Update(update)) => self.heard(update, heard),
+                    Some(Frame::KeepAlive) => *last = Some(Instant::now()),
+                    Some(Frame::Update(update)) => self.heard(update, last),
                 }
                 silent_at = Instant::now() + QUIET;
             }
@@ -222,9 +231,9 @@
         Err("the watch ended".into())
     }
 
-    fn heard(&mut self, update: Update, heard: &mut bool) {
+    fn heard(&mut self, update: Update, last: &mut Option<Instant>) {
         self.rev = Some(update.rev);
-        *heard = true;
+        *last = Some(Instant::now());
         (self.take)(update);
     }
 
--- a/tests/host/backoff.rs
+++ b/tests/host/backoff.rs
@@ -36,7 +36,7 @@
         if served {
             last = last.max(free);
         } else {
-            calls.push((now + fleet[who].wait(), who));
+            calls.push((now + fleet[who].wait(Duration::ZERO), who));
         }
     }
     Some(last)
@@ -54,17 +54,17 @@
 #[test]
 fn waits_grow_to_a_bound_and_start_anew_after_an_answer() {
     let mut backoff = Backoff::new(&told(4, "subscribe"), 7);
-    let waits: Vec<Duration> = (0..8).map(|_| backoff.wait()).collect();
+    let waits: Vec<Duration> = (0..8).map(|_| backoff.wait(Duration::ZERO)).collect();
     assert!(waits[0] <= SHORT && waits[7] > SHORT && waits[7] <= LONGEST);
     backoff.reset();
-    assert!(backoff.wait() <= SHORT);
+    assert!(backoff.wait(Duration::ZERO) <= SHORT);
 }
 
 #[test]
 fn an_agent_is_asked_at_once_and_again_within_the_grace_however_many_gateways_there_are() {
     let mut backoff = Backoff::new(&told(300, "automatic"), 7);
     assert_eq!(backoff.first(), Duration::ZERO, "what it holds counts as told already");
-    let longest = (0..100).map(|_| backoff.wait()).max();
+    let longest = (0..100).map(|_| backoff.wait(Duration::ZERO)).max();
     assert!(longest < Some(Duration::from_millis(250)), "a drain must be kept 500 ms after: {longest:?}");
 }
 
@@ -73,6 +73,6 @@
     for seed in 0..100 {
         let mut backoff = Backoff::new(&told(1000, "subscribe"), seed);
         assert!(backoff.first() < Duration::from_secs(5));
-        assert!((0..20).all(|_| backoff.wait() <= Duration::from_secs(15)));
+        assert!((0..20).all(|_| backoff.wait(Duration::ZERO) <= Duration::from_secs(15)));
     }
 }
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -7,3 +7,4 @@
 mod gateway;
 mod resp;
 mod support;
+mod told;
