Wait for an address that is still in use at the start, rather than die

A restart under the same address while the former process is still in its farewell, or not quite gone after a kill, ended at once: "cannot listen at ...: Address already in use". The former process keeps the latter until nine tenths of its time are over.

SIGTERM and SIGINT are heard meanwhile. The socket for notes is taken first: clients are not let in while it is waited for.

--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -2,6 +2,7 @@
 //! Start, signals and shutdown.
 
 pub mod backoff;
+pub mod bind;
 pub mod budget;
 pub mod clients;
 pub mod config;
@@ -19,7 +20,7 @@
 use peers::Peers;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
@@ -52,15 +53,26 @@
     let mut config = Config::read()?;
     let (name, me) = (std::mem::take(&mut config.name), config.settings.me);
     let listen = config.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen at {listen}: {e}"))?;
-    let listen = listener.local_addr().unwrap_or(listen);
-    let peers = match config.peer_listen {
-        Some(at) => {
-            let peers = Peers::bind(at, std::mem::take(&mut config.peers)).await;
-            Some(peers.map_err(|e| format!("cannot take notes at {at}: {e}"))?)
-        }
-        None => None,
+    let (peer_listen, addresses) = (config.peer_listen, std::mem::take(&mut config.peers));
+    // Clients are let in last: one that had a connection could not be answered while the other address is waited for.
+    let bound = async {
+        let peers = match peer_listen {
+            Some(at) => Some(bind::once_free("take notes", at, UdpSocket::bind).await?),
+            None => None,
+        };
+        Ok::<_, String>((peers, bind::once_free("listen", listen, TcpListener::bind).await?))
+    };
+    let bound = tokio::select! {
+        bound = bound => Some(bound?),
+        _ = term.recv() => None,
+        _ = int.recv() => None,
     };
+    let Some((peers, listener)) = bound else {
+        eprintln!("frostvale: {name} stops");
+        return Ok(());
+    };
+    let listen = listener.local_addr().unwrap_or(listen);
+    let peers = peers.map(|socket| Peers::new(socket, addresses));
     let known = config.known.take();
     let (moved, discovery) = watch::channel(config.discovery);
     let clients = Clients::new(config.sockets * CLIENT_PART / 100, config.memory_part());
--- a/src/host/peers.rs
+++ b/src/host/peers.rs
@@ -16,12 +16,9 @@
 }
 
 impl Peers {
-    /// Takes notes at an address, and sends them to these, by number.
-    ///
-    /// # Errors
-    /// When the address is taken or not this machine's.
-    pub async fn bind(listen: SocketAddr, addresses: Vec<SocketAddr>) -> std::io::Result<Peers> {
-        Ok(Peers { socket: Rc::new(UdpSocket::bind(listen).await?), addresses })
+    /// Takes notes on this socket, and sends them to these addresses, by number.
+    pub fn new(socket: UdpSocket, addresses: Vec<SocketAddr>) -> Peers {
+        Peers { socket: Rc::new(socket), addresses }
     }
 
     /// Sends a note if the socket takes it now. Notes may be lost, so nothing waits for one.
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -6,5 +6,6 @@
 mod discovery;
 mod gateway;
 mod resp;
+mod starts;
 mod support;
 mod told;
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -4,5 +4,6 @@
 mod departures;
 mod fakes;
 mod lists;
+mod ready;
 mod serving;
 mod shutdown;
