--- a/tests/node/fakes.rs
+++ b/tests/node/fakes.rs
@@ -174,7 +174,10 @@
 
 impl Discovery {
     pub fn with(list: String) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Discovery::over(TcpListener::bind("127.0.0.1:0").expect("a port"), list)
+    }
+
+    pub fn over(listener: TcpListener, list: String) -> Discovery {
         let at = listener.local_addr().expect("bound");
         let (tell, watches) = channel();
         thread::spawn(move || {
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod departures;
 mod fakes;
+mod limits;
 mod lists;
 mod ready;
 mod serving;
--- a/tests/node/ready.rs
+++ b/tests/node/ready.rs
@@ -45,6 +45,75 @@
     TcpListener::bind(SocketAddr::from(([127, 0, 5, last], 0))).expect("a port")
 }
 
+#[test]
+fn one_is_ready_while_discovery_refuses() {
+    let (nowhere, _socket) = nobody_listens();
+    ready(&mut spawn(&Setup::new(nowhere).config(), "exec"));
+}
+
+#[test]
+fn one_is_ready_while_discovery_hangs_and_takes_the_list_that_comes_at_last() {
+    let (worker, slow) = (Door::open(), Door::open());
+    let mut node = spawn(&Setup::new(slow.at).config(), "exec");
+    let mut first = slow.next();
+    ready(&mut node);
+    // The call goes on for as long as one may, and the next ones bring nothing either, until one does.
+    assert!(first.line().starts_with("GET /v1/servers "));
+    let targets = list(1, true, &[target("s-1", worker.at, "ready", 0)]);
+    let mut call = slow.asked();
+    call.say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{targets}", targets.len()));
+    let _watch = slow.asked();
+    let mut client = node.client();
+    client.say(ask(8000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("listed");
+    assert_eq!(client.answer(), "listed");
+}
+
+#[test]
+fn one_is_ready_while_the_list_never_ends_and_while_nobody_takes_the_call() {
+    let (slow, (pending, _filler)) = (Door::open(), full());
+    let mut node = spawn(&Setup::new(slow.at).config(), "exec");
+    let mut call = slow.next();
+    call.say("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{\"rev\":1,");
+    ready(&mut node);
+    ready(&mut spawn(&Setup::new(pending.local_addr().expect("bound")).config(), "exec"));
+}
+
+#[test]
+fn many_that_start_at_once_are_all_ready_while_discovery_is_away() {
+    let (nowhere, _socket) = nobody_listens();
+    let silent = Door::open();
+    let setups = [Setup::new(nowhere), Setup::new(silent.at)];
+    let mut nodes: Vec<Node> =
+        setups.iter().cycle().take(20).map(|setup| spawn(&setup.config(), "exec")).collect();
+    nodes.iter_mut().for_each(ready);
+}
+
+#[test]
+fn one_that_knows_very_many_workers_is_ready_and_sends_to_them() {
+    let (nowhere, _socket) = nobody_listens();
+    let worker = Door::open();
+    // The last ones are more than discovery may send in one list.
+    for count in [20_000, 40_000] {
+        let elsewhere = (0..count).map(|k| {
+            let at = SocketAddr::from(([127, 9, (k >> 8) as u8, k as u8], 6379));
+            target(&format!("s-{k}"), at, "draining", 0)
+        });
+        let targets: Vec<String> = elsewhere.chain([target("s-here", worker.at, "ready", 0)]).collect();
+        let known = list(41, true, &targets);
+        let mut node = spawn(&Setup { known, ..Setup::new(nowhere) }.config(), "exec");
+        ready(&mut node);
+        let mut client = node.client();
+        client.say(ask(8000));
+        let mut line = worker.next();
+        line.command();
+        line.serve("known");
+        assert_eq!(client.answer(), "known");
+    }
+}
+
 #[test]
 fn one_that_knows_very_many_ready_workers_is_ready() {
     let (nowhere, _socket) = nobody_listens();
@@ -58,6 +127,23 @@
     ready(&mut spawn(&Setup { known, ..Setup::new(nowhere) }.config(), "exec"));
 }
 
+#[test]
+fn one_that_is_told_nonsense_of_its_workers_is_ready() {
+    let (nowhere, _socket) = nobody_listens();
+    let odd = [
+        "7".into(),
+        r#"{"rev":-1,"all":true,"targets":[]}"#.into(),
+        r#"{"rev":1,"all":true,"targets":[{"uid":"s-1","state":"ready","endpoint":"nowhere"},7]}"#.into(),
+        list(1, true, &[]),
+        list(1, true, &[target("s-1", nowhere, "ready", 0), target("s-1", nowhere, "gone", 0)]),
+    ];
+    let mut nodes: Vec<Node> = odd
+        .into_iter()
+        .map(|known| spawn(&Setup { known, ..Setup::new(nowhere) }.config(), "exec"))
+        .collect();
+    nodes.iter_mut().for_each(ready);
+}
+
 #[test]
 fn one_whose_address_is_in_use_says_so_and_is_ready_once_it_is_free() {
     let (nowhere, _socket) = nobody_listens();
