Bound the lots for cold workers of one request, so that a fleet's sum topples none

Cause: in `choose` a cold server that its lot passes over doesn't count as seen, and the walk goes on to the next. Where 36 of 40 are cold, 1 - (1 - 0.072)^36 = 93% of the requests end with one of them, and each further attempt, mostly of what a cold one turned away (85% at the worst one), walks once more.

Change: a request draws at most (FallMultiple - 1) lots for each server that it looks at; with 4 that are three parts of a warm one's share. The multiple comes from the settings.

--- a/src/api.rs
+++ b/src/api.rs
@@ -92,6 +92,8 @@
     pub cold_from: f64,
     /// A server is warm no later than this after its start.
     pub warm_within: f64,
+    /// A cold server topples when it is sent more than this multiple of its present capacity; 0 where not told.
+    pub fall_multiple: f64,
 }
 
 impl Settings {
@@ -126,7 +128,7 @@
                 return bad("a plan has a negative or endless figure, or a rate without a burst");
             }
         }
-        if ![self.note_intake, self.cold_from, self.warm_within].into_iter().all(sound) {
+        if ![self.note_intake, self.cold_from, self.warm_within, self.fall_multiple].into_iter().all(sound) {
             return bad("a bound or rule is negative or endless");
         }
         Ok(())
--- a/src/conf.rs
+++ b/src/conf.rs
@@ -146,6 +146,7 @@
 pub struct Rules {
     cold_from: f64,
     warm_within: f64,
+    fall_multiple: f64,
     /// Nothing new goes to a server this long after word came that it drains or is gone.
     pub drain_grace: f64,
     /// Who has not asked a shared discovery for this long counts as told what it had to tell.
@@ -154,7 +155,13 @@
 
 impl Default for Rules {
     fn default() -> Self {
-        Rules { cold_from: 0.0, warm_within: 0.0, drain_grace: 500.0, must_ask_in: 10_000.0 }
+        Rules {
+            cold_from: 0.0,
+            warm_within: 0.0,
+            fall_multiple: 0.0,
+            drain_grace: 500.0,
+            must_ask_in: 10_000.0,
+        }
     }
 }
 
@@ -211,6 +218,7 @@
             note_intake: self.domain.peer_intake,
             cold_from: self.rules.cold_from,
             warm_within: self.rules.warm_within,
+            fall_multiple: self.rules.fall_multiple,
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -212,10 +212,8 @@
     fn on_servers(&mut self, listing: Listing, lines: Vec<Server>) {
         if listing == Listing::Snapshot {
             let named: BTreeSet<&Name> = lines.iter().map(|s| &s.name).collect();
-            for (name, s) in &mut self.servers {
-                if !named.contains(name) {
-                    s.health = Health::Gone;
-                }
+            for (_, s) in self.servers.iter_mut().filter(|(name, _)| !named.contains(name)) {
+                s.health = Health::Gone;
             }
         }
         for line in lines {
@@ -567,11 +565,10 @@
         let margin = self.margin(plan);
         let Some(c) = self.customers.get_mut(&key) else { return (Word::Deny, 0.0) };
         // Asked again as its answer was lost: it is charged already, or in line.
-        let same = |from, number| (from, number) == (ask.from, ask.number);
-        if c.recent.iter().any(|(from, number)| same(*from, *number)) {
+        if c.recent.contains(&(ask.from, ask.number)) {
             return (Word::Grant, 0.0);
         }
-        if c.queue.iter().any(|other| same(other.from, other.number)) {
+        if c.queue.iter().any(|other| (other.from, other.number) == (ask.from, ask.number)) {
             return (Word::Wait, 0.0);
         }
         let plan = &self.cfg.plans[c.plan];
@@ -777,17 +774,19 @@
         };
         let mut drawn = self.drawn();
         drawn.retain(|n| grouped(&self.servers[n]) && avoid != Some(n));
-        let look = (ALIKE_PEERS * drawn.len() as f64 / f64::from(self.cfg.gateways))
-            .max(LOOK)
-            .min(drawn.len() as f64);
+        let count = drawn.len() as f64;
+        let look = (ALIKE_PEERS * count / f64::from(self.cfg.gateways)).max(LOOK).min(count);
         let aim = self.cfg.classes[class].aim;
         let mut best: Option<(f64, Name)> = None;
-        let mut seen = 0.0;
+        // Where nearly all are cold, a lot for each would nearly always end with one of them. How many lots
+        // there are follows from what the rules forgive, with room for a burst and for further attempts.
+        let (mut seen, mut lots) = (0.0, look * (self.cfg.fall_multiple - 1.0).max(1.0));
         for name in drawn {
             let s = &self.servers[&name];
             let warmth = self.warmth(s);
             // Were it chosen each time, a cold server would get its part of a warm one's share.
-            if warmth < 1.0 && self.rng.random::<f64>() >= COLD_PART * warmth / look {
+            lots -= f64::from(u8::from(warmth < 1.0));
+            if warmth < 1.0 && (lots < 0.0 || self.rng.random::<f64>() >= COLD_PART * warmth / look) {
                 continue;
             }
             let time = self.foreseen(s, class);
@@ -884,8 +883,8 @@
         (self.fleet.usual, self.fleet.usual_at) = (self.mean_out(), self.now);
         let known =
             |s: &Live| (self.pace(s), self.warmth(s), self.learned(s.fail_at), self.learned(s.paced_at));
-        let known = self.servers.get(&o.server).map_or((0.0, 1.0, LEARN, LEARN), known);
-        let (guess, warmth, learn, learn_pace) = known;
+        let (guess, warmth, learn, learn_pace) =
+            self.servers.get(&o.server).map_or((0.0, 1.0, LEARN, LEARN), known);
         let Some(h) = self.held.get_mut(&o.id) else { return };
         let (key, keeper, class, load) = (h.job.key, h.job.keeper, h.job.request.class, h.load);
         let (plan, units) = (h.job.request.plan, h.job.request.units);
