Force cut answers without a length, late connections and the time that further attempts tell

Three sentences of the standing test had no test: an answer that tells no length and is reset is no whole one (on a stream in memory that resets where it would end: fails where a reset counts as an end); a connection that is not up in a quarter of the time left costs its attempt only (fails where it is waited for to the end); a further attempt tells its worker what is left to the client (fails where it tells the first time once more).

--- a/src/host/gateway.rs
+++ b/src/host/gateway.rs
@@ -176,8 +176,7 @@
         self.connect = connect;
     }
 
-    /// Takes a connection to a worker of the list into the pool. Nothing was asked on it, so that no late answer
-    /// can come and it need not rest.
+    /// Takes a connection to a worker of the list, on which nothing was asked yet, into the pool.
     pub fn adopt(&mut self, worker: &str, stream: TcpStream) {
         let life = self.workers.get(worker).map(|w| w.life);
         if let (Some(life), Some(place)) = (life, self.workers.place()) {
@@ -195,6 +194,11 @@
         conn
     }
 
+    /// How many requests are in hand, with those whose client has left while an attempt is still out.
+    pub fn in_hand(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Whether nobody is owed an answer.
     pub fn settled(&self) -> bool {
         self.requests.values().all(|r| r.client.is_none())
--- a/tests/host/discovery.rs
+++ b/tests/host/discovery.rs
@@ -2,11 +2,16 @@
 
 use crate::support::*;
 use frostvale::host::backoff::Backoff;
-use frostvale::host::discovery::{self, Frame, FrameDecoder, Tcp};
+use frostvale::host::discovery::{self, Connect, Frame, FrameDecoder, Tcp};
 use frostvale::host::gateway::Gateway;
+use std::cell::RefCell;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf, duplex};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -115,3 +120,68 @@
         }
     });
 }
+
+/// A connection that is reset where its other end ends it.
+struct Resets(DuplexStream);
+
+impl AsyncRead for Resets {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.0).poll_read(cx, buf))?;
+        let ended = buf.filled().len() == before;
+        Poll::Ready(if ended { Err(ErrorKind::ConnectionReset.into()) } else { Ok(()) })
+    }
+}
+
+impl AsyncWrite for Resets {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
+
+/// Each call is answered with a head that tells no length and then with these bytes, and reset.
+struct Cuts(&'static str);
+
+impl Connect for Cuts {
+    type Stream = Resets;
+
+    async fn connect(&self, _: SocketAddr) -> io::Result<Resets> {
+        let (near, mut far) = duplex(1 << 16);
+        let body = self.0;
+        spawn_local(async move {
+            let mut asked = [0; 1024];
+            if far.read(&mut asked).await.is_ok_and(|n| n > 0) {
+                let _ = far.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{body}").as_bytes()).await;
+            }
+        });
+        Ok(Resets(near))
+    }
+}
+
+#[test]
+fn an_answer_that_tells_no_length_is_not_ended_by_a_reset() {
+    play(async {
+        tokio::time::pause();
+        let at = "127.0.0.1:1".parse().expect("an address");
+        let cut = |body| {
+            let (taken, (moves, address)) = (Rc::new(RefCell::new(Vec::new())), watch::channel(at));
+            let kept = taken.clone();
+            let take = move |update| kept.borrow_mut().push(update);
+            let backoff = Backoff::new(&config(at).conf, 7);
+            spawn_local(discovery::follow(Cuts(body), take, address, None, backoff));
+            (taken, moves)
+        };
+        // For all that has come it could be whole; what more there was is lost.
+        let (list, _moves) = cut(r#"{"rev":1,"all":true,"targets":[]}"#);
+        sleep(Duration::from_secs(30)).await;
+        assert!(list.borrow().is_empty(), "{:?}", list.borrow());
+    });
+}
--- a/tests/host/gateway.rs
+++ b/tests/host/gateway.rs
@@ -111,3 +111,53 @@
         assert!(!repeated_after("brief", 1000).await);
     });
 }
+
+#[test]
+fn a_connection_that_comes_up_too_late_costs_its_attempt_only() {
+    play(async {
+        let (slow, quick) =
+            (TcpListener::bind(ANY).await.expect("a port"), TcpListener::bind(ANY).await.expect("a port"));
+        let (late, other) = (slow.local_addr().expect("bound"), quick.local_addr().expect("bound"));
+        let gateway = Gateway::new(config(late), None, 8).expect("sound settings");
+        let (up, goes_up) = watch::channel(false);
+        gateway.borrow_mut().connect_by(Rc::new(move |at| {
+            let mut goes_up = goes_up.clone();
+            Box::pin(async move {
+                if at == late {
+                    let _ = goes_up.wait_for(|up| *up).await;
+                }
+                TcpStream::connect(at).await
+            })
+        }));
+        let both = [worker(late), Target { uid: "s-2".into(), ..worker(other) }];
+        gateway.borrow_mut().update(Update { rev: 1, snapshot: true, targets: both.to_vec() });
+        let drains = Target { health: Health::Draining, ..both[1].clone() };
+        gateway.borrow_mut().update(Update { rev: 2, snapshot: false, targets: vec![drains] });
+        tokio::task::spawn_local(Gateway::keep_time(gateway.clone()));
+        let (_clients, mut client) = asked(&gateway, "pay", 4).await;
+        while gateway.borrow().in_hand() == 0 {
+            tokio::task::yield_now().await;
+        }
+        // Now there is another one, which is tried once the first has not come up in time.
+        gateway.borrow_mut().update(Update { rev: 3, snapshot: false, targets: vec![both[1].clone()] });
+        let (mut line, _) =
+            timeout(LONG, quick.accept()).await.expect("a further attempt").expect("connected");
+        line.peek(&mut [0]).await.expect("the command");
+        line.write_all(b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n").await.expect("written");
+        let mut answer = [0; 8];
+        client.read_exact(&mut answer).await.expect("answered");
+        assert_eq!(&answer, b"$2\r\nhi\r\n");
+        // By the next one it would come up at once: that is sent on it, and nothing else.
+        up.send_replace(true);
+        let gone = Target { health: Health::Gone, ..both[1].clone() };
+        gateway.borrow_mut().update(Update { rev: 4, snapshot: false, targets: vec![gone] });
+        let (_more, _next) = asked(&gateway, "pay", 5).await;
+        let (mut line, _) =
+            timeout(LONG, slow.accept()).await.expect("it is tried again").expect("connected");
+        let mut came = Vec::new();
+        while resp::command(&came).expect("sound").is_none() {
+            timeout(LONG, line.read_buf(&mut came)).await.expect("the next request").expect("open");
+        }
+        assert!(came.ends_with(b"$5\r\nxxxxx\r\n"), "{}", String::from_utf8_lossy(&came));
+    });
+}
--- a/tests/node/serving.rs
+++ b/tests/node/serving.rs
@@ -249,3 +249,38 @@
     assert!(line.ended());
     assert!(begun.elapsed() >= Duration::from_millis(400), "not at once");
 }
+
+/// The time that an attempt tells its worker, in ms.
+fn told(command: &[String]) -> u64 {
+    let (_, tail) = command[3].split_once(",d=").expect("d");
+    tail.split(',').next().and_then(|d| d.parse().ok()).expect("a number")
+}
+
+#[test]
+fn a_further_attempt_tells_its_worker_what_is_left_to_the_client() {
+    let (one, two) = (Door::open(), Door::open());
+    let both = [target("s-1", one.at, "ready", 0), target("s-2", two.at, "ready", 0)];
+    let discovery = Discovery::with(list(1, true, &both));
+    let node = Setup::new(discovery.at).start();
+    let mut client = node.client();
+    let begun = Instant::now();
+    client.say(ask(5000));
+    let mut out = loop {
+        if let Ok(stream) = one.came.try_recv().or_else(|_| two.came.try_recv()) {
+            break Line::of(stream);
+        }
+    };
+    let first = told(&out.command());
+    thread::sleep(Duration::from_millis(300));
+    let passed = begun.elapsed().as_millis() as u64;
+    out.say("-ERR failed\r\n");
+    let mut again = loop {
+        if let Ok(stream) = one.came.try_recv().or_else(|_| two.came.try_recv()) {
+            break Line::of(stream);
+        }
+    };
+    let second = told(&again.command());
+    assert!(first <= 5000 && second + passed <= 5000, "{first} ms, and {second} ms after {passed}");
+    again.serve("in time");
+    assert_eq!(client.answer(), "in time");
+}
