--- a/src/control.rs
+++ b/src/control.rs
@@ -779,8 +779,9 @@
         let aim = self.cfg.classes[class].aim;
         let mut best: Option<(f64, Name)> = None;
         // Where nearly all are cold, a lot for each would nearly always end with one of them. How many lots
-        // there are follows from what the rules forgive, with room for a burst and for further attempts.
-        let (mut seen, mut lots) = (0.0, look * (self.cfg.fall_multiple - 1.0).max(1.0));
+        // there are follows from what the rules forgive; what cold ones turn away must not go round them all.
+        let most_lots = if avoid.is_some() { 1.0 } else { self.cfg.fall_multiple.max(1.0) };
+        let (mut seen, mut lots) = (0.0, look * most_lots);
         for name in drawn {
             let s = &self.servers[&name];
             let warmth = self.warmth(s);
