Ask a client's socket before an attempt begins for a request that has waited

Cause: a place that came free, a keeper's answer, a connection that came up and a failed attempt begin the next attempt in the same stroke in which they are read. The end of the client may lie in its socket by then, unread: what came first is served first, and on a busy core that may be long ago. The attempt began all the same, and was only taken note of as one for nobody once it was written.

Change: `send`, and `connected` before its command is written, ask the client's socket whether it has ended, for requests that have waited since they came alone: those that are sent on at once cost nothing more. Bytes that lie unread hide the end from a look into the socket; then the runtime knows of it from its last look at all sockets.

Tests: the gatekeeper is stopped, what its request waits for and then the departure (half-closed, closed, reset) are put into its sockets, and it goes on: the order is that of the kernel, and no time is measured.

--- a/src/host/clients.rs
+++ b/src/host/clients.rs
@@ -303,6 +303,17 @@
         while self.stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {}
     }
 
+    /// Whether the client has gone, as far as is known now. The runtime may not have seen its end yet, so the
+    /// socket itself is asked; what lies unread before the end hides it there, and then the runtime knows it as
+    /// soon as it has looked again.
+    pub fn gone(&self) -> bool {
+        let seen = self.stream.try_io(Interest::PRIORITY, || Ok(())).is_ok();
+        seen || match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
     /// Whether it stands between requests.
     fn idle(&self) -> bool {
         let out = self.out.borrow();
--- a/src/host/gateway.rs
+++ b/src/host/gateway.rs
@@ -69,6 +69,8 @@
     ask: Ask,
     /// Who is owed the answer; none once it is given or the client has left.
     client: Option<Rc<Client>>,
+    /// Whether it has waited since it came.
+    waited: bool,
     attempts: u32,
     attempt: Option<Attempt>,
     /// When the first attempt that may have run was begun.
@@ -297,9 +299,14 @@
         };
         self.held += ask.command.len();
         self.open.insert(ask.wire);
-        self.requests.insert(id, InHand { ask, client: Some(client), attempts: 0, attempt: None, ran: None });
+        let client = Some(client);
+        self.requests
+            .insert(id, InHand { ask, client, waited: false, attempts: 0, attempt: None, ran: None });
         self.at(give_up + OVERDUE_MS, Due::Answer(id));
         self.event(Event::Request(request));
+        if let Some(r) = self.requests.get_mut(&id) {
+            r.waited = true;
+        }
     }
 
     /// A client went away with this request open. Nothing more goes out for it.
@@ -433,6 +440,9 @@
         if not_past <= now || r.client.is_none() {
             return self.end(id, Ending::Moot, None);
         }
+        if r.abandoned() {
+            return self.left(id);
+        }
         self.at(not_past, Due::Attempt(id, number));
         // A connection that breaks before anything is written has cost nothing: the next one is as good.
         while let Some(conn) = self.workers.take(&server, now - REST_MS) {
@@ -467,6 +477,9 @@
         place: Place,
         stream: Option<TcpStream>,
     ) {
+        if self.requests.get(&id).is_some_and(InHand::abandoned) {
+            self.left(id);
+        }
         let attempt = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
         let waits = attempt.is_some_and(|a| a.number == number && a.conn.is_none());
         let conn = stream.map(|stream| self.conn(stream, server, life, place));
@@ -684,6 +697,12 @@
 }
 
 impl InHand {
+    /// Whether its client has left while it waited, though that is not read yet: what it waited for may have
+    /// come just before, or the core may have been too busy to look.
+    fn abandoned(&self) -> bool {
+        self.waited && self.client.as_ref().is_some_and(|client| client.gone())
+    }
+
     /// Whether it has an attempt out at one of these workers.
     fn lives_in(&self, workers: &[Name]) -> bool {
         self.attempt.as_ref().is_some_and(|a| a.conn.is_some() && workers.contains(&a.server))
--- a/tests/node/departures.rs
+++ b/tests/node/departures.rs
@@ -2,7 +2,7 @@
 
 use crate::fakes::*;
 use std::io::Write;
-use std::net::Shutdown;
+use std::net::{Shutdown, UdpSocket};
 
 /// A gatekeeper whose customers may have one request out at once; the next waits in the module for its place.
 fn one_place() -> (Door, Discovery, Node) {
@@ -157,3 +157,248 @@
     let mut line = two.within(&mut out, LONG).or_else(|| Some(one.next())).expect("a connection");
     assert_ne!(line.command()[2], ID, "sent on though its client has left");
 }
+
+/// A connection that has rested: what is begun goes out on it at once.
+fn rested(worker: &Door, node: &Node) -> Line {
+    let mut client = node.client();
+    client.say(ask_of("00000000b4d65522", 8000));
+    let mut line = worker.next();
+    line.command();
+    line.serve("rested");
+    assert_eq!(client.answer(), "rested");
+    std::thread::sleep(RESTED);
+    line
+}
+
+/// The next request that goes out, on one of these connections or on a new one, is of nobody who has left.
+fn next_is_not_of(worker: &Door, node: &Node, mut open: Vec<Line>, left: &[&str], what: &str) {
+    let mut next = node.client();
+    next.say(ask_as("00000000000000ff", 8000));
+    until("something goes out", || {
+        open.extend(worker.came.try_recv().map(Line::of));
+        open.iter_mut().any(Line::speaks)
+    });
+    for line in &mut open {
+        if !line.speaks() {
+            continue;
+        }
+        let command = line.command();
+        assert!(!left.contains(&&*command[2]), "{what}: sent on though its client has left");
+        line.serve("next");
+    }
+    assert_eq!(next.answer(), "next");
+}
+
+/// Has it answer one that came after all that was sent before: by then it has taken that in.
+fn taken_in(node: &Node) {
+    let mut other = node.client();
+    other.say(words(&["PING"]));
+    assert_eq!(other.answer(), "+PONG");
+}
+
+#[test]
+fn whose_place_comes_free_as_it_leaves_is_not_sent_on() {
+    for how in WAYS {
+        for behind in [0, 3] {
+            let (worker, _discovery, node) = one_place();
+            let (mut first, mut waits) = (node.client(), node.client());
+            first.say(ask(8000));
+            let mut out = worker.next();
+            out.command();
+            let spare = rested(&worker, &node);
+            waits.say(ask_as(ID, 8000));
+            taken_in(&node);
+            node.halt();
+            out.serve("first");
+            // What lies unread before it must not hide its end.
+            waits.say(words(&["PING"]).repeat(behind));
+            let mut left = [waits];
+            node.leave(how, &mut left);
+            node.resume();
+            assert_eq!(first.answer(), "first");
+            next_is_not_of(&worker, &node, vec![out, spare], &[ID], &format!("{how:?}, {behind} behind"));
+        }
+    }
+}
+
+#[test]
+fn whose_place_comes_free_as_it_leaves_during_the_shutdown_is_not_sent_on() {
+    for how in WAYS {
+        let (worker, _discovery, mut node) = one_place();
+        let (mut first, mut waits) = (node.client(), node.client());
+        first.say(ask(8000));
+        let mut out = worker.next();
+        out.command();
+        let mut spare = rested(&worker, &node);
+        waits.say(ask_as(ID, 8000));
+        closes(&node);
+        node.halt();
+        out.serve("first");
+        let mut left = [waits];
+        node.leave(how, &mut left);
+        node.resume();
+        assert_eq!(first.answer(), "first");
+        assert!(node.exit().success());
+        let nothing = out.ended() && spare.ended() && worker.nobody();
+        assert!(nothing, "{how:?}: sent on though its client has left");
+    }
+}
+
+/// Tells it to end, and waits until connections are only kept for what is in hand.
+fn closes(node: &Node) {
+    let mut idle = node.client();
+    idle.say(words(&["PING"]));
+    assert_eq!(idle.answer(), "+PONG");
+    node.signal("-TERM");
+    assert!(idle.ended(), "who has nothing in hand is closed");
+}
+
+/// A request whose customer's only keeper is the peer.
+fn asks_the_peer(id: &str) -> Vec<u8> {
+    words(&["Q.ASK", "00000000b4d65521", id, "c=read,t=p,d=8000,units=0.01,spread=1,first=1"])
+}
+
+/// The peer's answer to each question in this note: its units are granted.
+fn grants(note: &str) -> Vec<String> {
+    let grant = |item: &str| {
+        let parts: Vec<&str> = item.split(',').collect();
+        assert_eq!(parts[0], "a", "{note}");
+        format!("g,{},1,{},{},1.0,1.0,9.0;", parts[1], parts[3], parts[4])
+    };
+    note.split(';').filter(|item| !item.is_empty()).map(grant).collect()
+}
+
+/// The questions of so many requests, as they come. Each is put once more where no answer comes.
+fn questions(peer: &UdpSocket, count: usize) -> Vec<String> {
+    let mut granted = Vec::new();
+    let mut bytes = [0; 512];
+    while granted.len() < count {
+        let (len, _) = peer.recv_from(&mut bytes).expect("the questions");
+        granted.extend(grants(&String::from_utf8_lossy(&bytes[..len])));
+        granted.sort();
+        granted.dedup();
+    }
+    granted
+}
+
+#[test]
+fn whose_keeper_answers_as_it_leaves_is_not_sent_on() {
+    for (how, ending) in WAYS.iter().flat_map(|how| [(*how, false), (*how, true)]) {
+        let (worker, mut node, own, peer) = one_of_two();
+        let mut spare = rested(&worker, &node);
+        let mut waits = node.client();
+        waits.say(asks_the_peer(ID));
+        let granted = questions(&peer, 1);
+        if ending {
+            closes(&node);
+        }
+        node.halt();
+        peer.send_to(granted[0].as_bytes(), own).expect("sent");
+        node.leave(how, &mut [waits]);
+        node.resume();
+        if ending {
+            // It goes on answering its peers unless it is told once more.
+            peer.send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own).expect("sent");
+            peer.recv_from(&mut [0; 512]).expect("it has taken in all before that");
+            node.signal("-TERM");
+            assert!(node.exit().success());
+            let nothing = spare.ended() && worker.nobody();
+            assert!(nothing, "{how:?}: sent on though its client has left");
+        } else {
+            taken_in(&node);
+            next_is_not_of(&worker, &node, vec![spare], &[ID], &format!("{how:?}"));
+        }
+    }
+}
+
+#[test]
+fn whose_connection_comes_up_as_it_leaves_is_not_sent_on() {
+    for (how, ending) in WAYS.iter().flat_map(|how| [(*how, false), (*how, true)]) {
+        let (slow, filler) = full();
+        let at = slow.local_addr().expect("bound");
+        let discovery = Discovery::with(list(1, true, &[target("s-1", at, "ready", 0)]));
+        let mut node = Setup::new(discovery.at).start();
+        let mut waits = node.client();
+        waits.say(ask_as(ID, 8000));
+        coming_up(at, 1);
+        if ending {
+            closes(&node);
+        }
+        node.halt();
+        let door = Door::over(slow);
+        drop(door.next());
+        let mut late = door.next();
+        node.leave(how, &mut [waits]);
+        node.resume();
+        if ending {
+            assert!(node.exit().success());
+            assert!(late.ended() && door.nobody(), "{how:?}: sent on though its client has left");
+        } else {
+            next_is_not_of(&door, &node, vec![late], &[ID], &format!("{how:?}"));
+        }
+        drop(filler);
+    }
+}
+
+/// A gatekeeper with a connection to each of two workers that has rested, and both of them.
+fn two_workers() -> (Vec<Line>, [Door; 2], Discovery, Node) {
+    let doors = [Door::open(), Door::open()];
+    let listed = [target("s-1", doors[0].at, "ready", 0), target("s-2", doors[1].at, "ready", 0)];
+    let discovery = Discovery::with(list(1, true, &listed));
+    let node = Setup::new(discovery.at).start();
+    let (mut lines, mut clients) = (Vec::new(), Vec::new());
+    while lines.len() < 2 {
+        let mut client = node.client();
+        client.say(ask(8000));
+        // While one of them has a request out, the next one goes to the other.
+        until("it is sent on", || {
+            lines.extend(doors.iter().filter_map(|door| door.came.try_recv().ok()).map(Line::of));
+            lines.len() > clients.len()
+        });
+        clients.push(client);
+    }
+    for (line, client) in lines.iter_mut().zip(&mut clients) {
+        line.command();
+        line.serve("served");
+        assert_eq!(client.answer(), "served");
+    }
+    std::thread::sleep(RESTED);
+    (lines, doors, discovery, node)
+}
+
+#[test]
+fn whose_attempt_fails_as_it_leaves_gets_no_further_one() {
+    let failures: [&[u8]; 3] = [b"", b"-BUSY\r\n", b"-ERR failed\r\n"];
+    for (how, failure) in WAYS.iter().flat_map(|how| failures.map(|failure| (*how, failure))) {
+        for ending in [false, true] {
+            let what = format!("{how:?}, {:?}, {ending}", String::from_utf8_lossy(failure));
+            let (mut lines, doors, _discovery, mut node) = two_workers();
+            let mut waits = node.client();
+            waits.say(ask_as(ID, 8000));
+            until("it is sent on", || lines.iter_mut().any(Line::speaks));
+            let at = lines.iter_mut().position(Line::speaks).expect("one of them");
+            let (mut out, mut other) = (lines.remove(at), lines.remove(0));
+            assert_eq!(out.command()[2], ID);
+            if ending {
+                closes(&node);
+            }
+            node.halt();
+            if failure.is_empty() {
+                out.read.get_ref().shutdown(Shutdown::Both).expect("open");
+            } else {
+                out.say(failure);
+            }
+            node.leave(how, &mut [waits]);
+            node.resume();
+            if ending {
+                assert!(node.exit().success());
+            } else {
+                taken_in(&node);
+                node.signal("-KILL");
+                node.exit();
+            }
+            assert!(other.ended(), "{what}: a further attempt though its client has left");
+            assert!(doors.iter().all(Door::nobody), "{what}: a further attempt though its client has left");
+        }
+    }
+}
--- a/tests/node/fakes.rs
+++ b/tests/node/fakes.rs
@@ -1,7 +1,7 @@
 //! Small fakes of clients, workers and discovery, and the process under test.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -75,6 +75,48 @@
     (slow, filler)
 }
 
+/// The ways in which a client can go.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Way {
+    /// It ends its sending and reads on.
+    Half,
+    Close,
+    Reset,
+}
+
+pub const WAYS: [Way; 3] = [Way::Half, Way::Close, Way::Reset];
+
+/// Waits for what comes about elsewhere on this machine.
+pub fn until(what: &str, mut is: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !is() {
+        assert!(begun.elapsed() < LONG, "waited in vain until {what}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// The kernel's table of connections: this end's port, the other end's, and its word for the state.
+fn connections() -> Vec<(u16, u16, String)> {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+    let port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
+    let lines = table.lines().filter_map(|line| {
+        let mut parts = line.split_whitespace().skip(1);
+        Some((port(parts.next()?)?, port(parts.next()?)?, parts.next()?.to_string()))
+    });
+    lines.collect()
+}
+
+/// Waits until so many connections to this address are being made that are not up yet.
+pub fn coming_up(at: SocketAddr, count: usize) {
+    let pending = |(_, far, state): &&(u16, u16, String)| *far == at.port() && state == "02";
+    until("a connection is on its way", || connections().iter().filter(pending).count() >= count);
+}
+
+/// A socket that was never connected.
+fn unconnected() -> TcpStream {
+    socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket").into()
+}
+
 /// Longer than a connection rests between two requests.
 pub const RESTED: Duration = Duration::from_millis(20);
 
@@ -151,6 +193,12 @@
     words(&["Q.ASK", "00000000b4d65521", id, &fields])
 }
 
+/// The same of another customer, whose places and units are its own.
+pub fn ask_of(customer: &str, wait: u32) -> Vec<u8> {
+    let request = String::from_utf8(ask(wait)).expect("text");
+    request.replace("00000000b4d65521", customer).into_bytes()
+}
+
 pub fn order(class: &str, wait: u32) -> Vec<u8> {
     let fields = format!("c={class},t=p,d={wait},k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0");
     words(&["Q.DO", "00000000b4d65521", ID, &fields, "BODY"])
@@ -333,6 +381,42 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// Stops it, until all that then comes is there for it to see at once, in the order in which it came.
+    pub fn halt(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        until("it is stopped", || {
+            let stat = std::fs::read_to_string(&stat).expect("it runs");
+            // Its state follows its name, which stands in brackets.
+            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        });
+    }
+
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Has these clients go, and waits until the kernel has told this machine's end of each.
+    pub fn leave(&self, how: Way, clients: &mut [Line]) {
+        let ports = clients.iter().map(|c| c.read.get_ref().local_addr().expect("bound").port());
+        let ports: Vec<u16> = ports.collect();
+        for client in clients {
+            let stream = client.read.get_ref();
+            if how == Way::Reset {
+                socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("open");
+            }
+            match how {
+                Way::Half => stream.shutdown(Shutdown::Write).expect("open"),
+                // Nothing holds it any more but this.
+                Way::Close | Way::Reset => client.read = BufReader::new(unconnected()),
+            }
+        }
+        let here = |(near, far, state): &(u16, u16, String)| {
+            *near == self.at.port() && state == "01" && ports.contains(far)
+        };
+        until("all are seen to have left", || !connections().iter().any(here));
+    }
+
     /// Gives it another configuration and has it read.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.config, config).expect("written");
