Begin nothing for a request that comes with the end of its client

Cause: a client's bytes were read once and what stood in them begun before the next read, which found the end of the stream that had come with them. On a busy core that end may be long past: nothing tells how long the bytes lay there.

Change: bytes are read to the end of what is here before anything begins, with the same number of reads, and a request whose client has ended its sending is not begun. Who sends more than 16 KiB at once lets the runtime look at all sockets in between, its own end among them. PING is answered as before, also where the end comes with it.

Tests: a_request_that_comes_with_the_end_of_its_client_is_not_sent_on fails without the change, with the check in `begin` gone (both at one request on a known connection), without reading on (one on a new connection), and without the turn for the others (300 on a new connection: the runtime takes an accepted socket for readable without a look). a_ping_that_comes_with_the_end_of_its_client_is_answered fails where the end of the stream ends it all at once.

--- a/src/host/clients.rs
+++ b/src/host/clients.rs
@@ -16,6 +16,7 @@
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// Commands of one connection that are in hand at once; more wait in the socket.
@@ -200,6 +201,8 @@
     wake: Notify,
     /// Whether its task waits for an answer to be given, rather than for input.
     blocked: Cell<bool>,
+    /// It has ended its sending, and so has gone.
+    ended: Cell<bool>,
     close: Cell<Close>,
     /// When the last answer was given or command came, and whether there ever was a command.
     used: Cell<Instant>,
@@ -303,14 +306,35 @@
         while self.stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {}
     }
 
+    /// Whether the runtime has seen its end, perhaps behind bytes that lie unread.
+    fn ends(&self) -> bool {
+        self.stream.try_io(Interest::PRIORITY, || Ok(())).is_ok()
+    }
+
     /// Whether the client has gone, as far as is known now. The runtime may not have seen its end yet, so the
     /// socket itself is asked; what lies unread before the end hides it there, and then the runtime knows it as
     /// soon as it has looked again.
     pub fn gone(&self) -> bool {
-        let seen = self.stream.try_io(Interest::PRIORITY, || Ok(())).is_ok();
-        seen || match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(n) => n == 0,
-            Err(e) => e.kind() != ErrorKind::WouldBlock,
+        self.ends()
+            || match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+                Ok(n) => n == 0,
+                Err(e) => e.kind() != ErrorKind::WouldBlock,
+            }
+    }
+
+    /// Reads what is here. It goes on to the end of it, as far as that is not much: one that has left by now is
+    /// known to have before anything begins for it. False if the connection broke.
+    fn read(&self, bytes: &mut Vec<u8>) -> bool {
+        loop {
+            bytes.reserve(2048);
+            match self.stream.try_read_buf(bytes) {
+                Ok(0) => self.ended.set(true),
+                Ok(_) if bytes.len() < KEPT => continue,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return false,
+            }
+            return true;
         }
     }
 
@@ -487,6 +511,7 @@
             out: RefCell::default(),
             wake: Notify::new(),
             blocked: Cell::new(false),
+            ended: Cell::new(false),
             close: Cell::new(if self.ending.get() { Close::BetweenCommands } else { Close::Never }),
             used: Cell::new(Instant::now()),
             spoke: Cell::new(false),
@@ -534,6 +559,9 @@
                 Err(broken) => return refuse(client, &broken).await,
             }
         }
+        if client.ended.get() {
+            return;
+        }
         if !client.reading.set(bytes.capacity(), KEPT) {
             return refuse(client, &Broken("no room for so long a command now")).await;
         }
@@ -548,15 +576,13 @@
         tokio::select! {
             () = client.left(), if !reads => return,
             ready = client.stream.readable(), if reads => {
-                if ready.is_err() {
+                if ready.is_err() || !client.read(&mut bytes) {
                     return;
                 }
-                bytes.reserve(2048);
-                match client.stream.try_read_buf(&mut bytes) {
-                    Ok(0) => return,
-                    Ok(_) => {}
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                    Err(_) => return,
+                if bytes.len() >= KEPT {
+                    // There may be more. Who sends so much lets all others be looked at first, and whether its
+                    // own end has come behind it.
+                    yield_now().await;
                 }
             }
             _ = client.stream.writable(), if unread => client.flush(),
@@ -598,6 +624,11 @@
 fn begin(gateway: &Shared, client: &Rc<Client>, bytes: &[u8], command: &Command) {
     let name = command.part(bytes, 0);
     if name == b"Q.ASK" || name == b"Q.DO" {
+        if client.ended.get() || client.ends() {
+            // Nor can what comes behind it be answered in its turn.
+            client.out.borrow_mut().broken = true;
+            return;
+        }
         let ask = Ask::read(&gateway.borrow(), bytes, command);
         match ask {
             Ok(ask) => {
--- a/tests/node/departures.rs
+++ b/tests/node/departures.rs
@@ -4,6 +4,9 @@
 use std::io::Write;
 use std::net::{Shutdown, UdpSocket};
 
+/// A customer of whom nobody leaves.
+const NEXT: &str = "00000000b4d65524";
+
 /// A gatekeeper whose customers may have one request out at once; the next waits in the module for its place.
 fn one_place() -> (Door, Discovery, Node) {
     let worker = Door::open();
@@ -42,6 +45,7 @@
     let mut out = worker.next();
     out.command();
     waits.say([ask_as(ID, 8000), words(&["PING"]).repeat(2000)].concat());
+    taken_in(&node);
     waits.leaves("a full pipeline");
     nothing_goes_out(&worker, &node, first, out, ID);
 }
@@ -54,6 +58,7 @@
     let mut out = worker.next();
     out.command();
     waits.say([ask_as(ID, 8000), words(&["PING"]).repeat(2000)].concat());
+    taken_in(&node);
     socket2::SockRef::from(waits.read.get_ref()).set_linger(Some(std::time::Duration::ZERO)).expect("open");
     drop(waits);
     // What came before it is taken in once this is answered.
@@ -70,6 +75,7 @@
     let mut out = worker.next();
     out.command();
     waits.say([&ask_as(ID, 8000)[..], b"nonsense\r\n", &[b'x'; 5000]].concat());
+    taken_in(&node);
     waits.leaves("nonsense");
     nothing_goes_out(&worker, &node, first, out, ID);
 }
@@ -123,6 +129,7 @@
     let node = Setup::new(discovery.at).start();
     let (mut client, mut other) = (node.client(), node.client());
     client.say(ask_as(ID, 8000));
+    coming_up(at, 1);
     client.leaves("a connection that comes up");
     let door = Door::over(slow);
     drop(door.next());
@@ -170,10 +177,11 @@
     line
 }
 
-/// The next request that goes out, on one of these connections or on a new one, is of nobody who has left.
-fn next_is_not_of(worker: &Door, node: &Node, mut open: Vec<Line>, left: &[&str], what: &str) {
+/// All that goes out, on one of these connections or on a new one, is the next request: nobody has left whose
+/// request did. It is of a customer who has all places free.
+fn only_the_next_goes_out(worker: &Door, node: &Node, mut open: Vec<Line>, what: &str) {
     let mut next = node.client();
-    next.say(ask_as("00000000000000ff", 8000));
+    next.say(ask_of(NEXT, 8000));
     until("something goes out", || {
         open.extend(worker.came.try_recv().map(Line::of));
         open.iter_mut().any(Line::speaks)
@@ -182,8 +190,7 @@
         if !line.speaks() {
             continue;
         }
-        let command = line.command();
-        assert!(!left.contains(&&*command[2]), "{what}: sent on though its client has left");
+        assert_eq!(line.command()[1], NEXT, "{what}: sent on though its client has left");
         line.serve("next");
     }
     assert_eq!(next.answer(), "next");
@@ -216,7 +223,7 @@
             node.leave(how, &mut left);
             node.resume();
             assert_eq!(first.answer(), "first");
-            next_is_not_of(&worker, &node, vec![out, spare], &[ID], &format!("{how:?}, {behind} behind"));
+            only_the_next_goes_out(&worker, &node, vec![out, spare], &format!("{how:?}, {behind} behind"));
         }
     }
 }
@@ -306,7 +313,7 @@
             assert!(nothing, "{how:?}: sent on though its client has left");
         } else {
             taken_in(&node);
-            next_is_not_of(&worker, &node, vec![spare], &[ID], &format!("{how:?}"));
+            only_the_next_goes_out(&worker, &node, vec![spare], &format!("{how:?}"));
         }
     }
 }
@@ -334,7 +341,7 @@
             assert!(node.exit().success());
             assert!(late.ended() && door.nobody(), "{how:?}: sent on though its client has left");
         } else {
-            next_is_not_of(&door, &node, vec![late], &[ID], &format!("{how:?}"));
+            only_the_next_goes_out(&door, &node, vec![late], &format!("{how:?}"));
         }
         drop(filler);
     }
@@ -402,3 +409,44 @@
         }
     }
 }
+
+#[test]
+fn a_request_that_comes_with_the_end_of_its_client_is_not_sent_on() {
+    for (how, count) in WAYS.iter().flat_map(|how| [(*how, 1), (*how, 100), (*how, 300)]) {
+        for known in [true, false] {
+            let (worker, _discovery, mut node) = one_worker();
+            let mut first = node.client();
+            first.say(ask(8000));
+            let mut out = worker.next();
+            out.command();
+            out.serve("first");
+            assert_eq!(first.answer(), "first");
+            std::thread::sleep(RESTED);
+            node.halt();
+            let mut client = if known { first } else { node.client() };
+            client.say((0..count).flat_map(|_| ask(8000)).collect::<Vec<u8>>());
+            node.leave(how, &mut [client]);
+            node.resume();
+            taken_in(&node);
+            node.signal("-KILL");
+            node.exit();
+            // Nothing came: neither on the connection that is there, nor on another.
+            assert!(
+                out.ended() && worker.nobody(),
+                "{how:?}, {count}, {known}: sent on though its client has left"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_ping_that_comes_with_the_end_of_its_client_is_answered() {
+    let (_worker, _discovery, node) = one_worker();
+    let mut client = node.client();
+    node.halt();
+    client.say(words(&["PING"]));
+    client.read.get_ref().shutdown(Shutdown::Write).expect("open");
+    node.resume();
+    assert_eq!(client.answer(), "+PONG");
+    assert!(client.ended());
+}
