Look at a client's socket before what waited behind its full pipeline begins

Cause: bytes that are read while 128 commands of a connection are in hand wait in the process. When an answer made room they were begun by the same task that watches for the end, whichever of the two it happened to hear of first.

Change: what has waited there is begun only after a look into the socket.

--- a/src/host/clients.rs
+++ b/src/host/clients.rs
@@ -552,6 +552,9 @@
         // What came while the line was full is taken up when there is room again.
         let room = waiting < PIPELINE_MOST;
         if room && !bytes.is_empty() {
+            if client.blocked.get() && client.gone() {
+                return;
+            }
             match take(gateway, client, &mut bytes) {
                 Ok(true) => continue,
                 Ok(false) if client.half.get().is_none() => client.half.set(Some(Instant::now())),
--- a/tests/node/departures.rs
+++ b/tests/node/departures.rs
@@ -450,3 +450,31 @@
     assert_eq!(client.answer(), "+PONG");
     assert!(client.ended());
 }
+
+#[test]
+fn what_waits_behind_a_full_pipeline_as_its_client_leaves_is_not_sent_on() {
+    for how in WAYS {
+        let (worker, _discovery, node) = one_worker();
+        let held: Vec<(Line, Line)> = (0..8)
+            .map(|_| {
+                let mut client = node.client();
+                client.say(
+                    [ask_of("00000000b4d65523", 8000), words(&["PING"]).repeat(127), ask(8000)].concat(),
+                );
+                let mut out = worker.next();
+                out.command();
+                (client, out)
+            })
+            .collect();
+        let spare = rested(&worker, &node);
+        node.halt();
+        let (mut clients, mut outs): (Vec<Line>, Vec<Line>) = held.into_iter().unzip();
+        // With this the line of each is empty again, and the request behind it has room.
+        outs.iter_mut().for_each(|out| out.serve("first"));
+        node.leave(how, &mut clients);
+        node.resume();
+        taken_in(&node);
+        outs.push(spare);
+        only_the_next_goes_out(&worker, &node, outs, &format!("{how:?}"));
+    }
+}
