Play departures that the runtime has not seen inside the process, by what the host tells of itself

The three tests that came with the looks into a client's socket, as tests/host plays them: by how many requests were taken in and how many clients have gone as far as their sockets know, which the host now tells.

--- a/src/host/clients.rs
+++ b/src/host/clients.rs
@@ -435,6 +435,11 @@
         self.all.borrow().is_empty()
     }
 
+    /// How many have gone, as far as their sockets know, that are still here.
+    pub fn gone(&self) -> usize {
+        self.all.borrow().values().filter(|client| client.gone()).count()
+    }
+
     /// Waits for a connection to end.
     pub async fn one_left(&self) {
         self.left.notified().await;
--- a/src/host/gateway.rs
+++ b/src/host/gateway.rs
@@ -105,6 +105,7 @@
     /// What the module needs of them.
     pub settings: Settings,
     requests: HashMap<u64, InHand>,
+    taken: u64,
     last_id: u64,
     held: usize,
     held_most: usize,
@@ -145,6 +146,7 @@
                 conf: config.conf,
                 settings: config.settings,
                 requests: HashMap::new(),
+                taken: 0,
                 last_id: 0,
                 held: 0,
                 held_most: memory,
@@ -196,6 +198,11 @@
         conn
     }
 
+    /// How many requests have been taken in since the start.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
     /// How many requests are in hand, with those whose client has left while an attempt is still out.
     pub fn in_hand(&self) -> usize {
         self.requests.len()
@@ -297,6 +304,7 @@
             give_up,
             repeat: ask.repeat,
         };
+        self.taken += 1;
         self.held += ask.command.len();
         self.open.insert(ask.wire);
         let client = Some(client);
--- a/tests/host/clients.rs
+++ b/tests/host/clients.rs
@@ -70,3 +70,17 @@
         assert_eq!(rest(&mut client).await, "+PONG\r\n");
     });
 }
+
+#[test]
+fn an_end_that_the_runtime_has_not_seen_yet_is_known() {
+    play(async {
+        let (clients, one, _other) = two_clients().await;
+        assert_eq!(clients.gone(), 0);
+        drop(one);
+        // No turn for the runtime: only the socket itself can know.
+        let begun = Instant::now();
+        while clients.gone() == 0 {
+            assert!(begun.elapsed() < LONG, "only the runtime would see it");
+        }
+    });
+}
--- a/tests/host/gateway.rs
+++ b/tests/host/gateway.rs
@@ -7,7 +7,7 @@
 use frostvale::host::gateway::{Gateway, Shared};
 use frostvale::host::resp;
 use socket2::SockRef;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -49,14 +49,27 @@
     let (accepting, gateway) = (clients.clone(), gateway.clone());
     tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
     let mut client = TcpStream::connect(at).await.expect("connected");
+    client.write_all(&command(class, "9b1f03aa5c7e2d41", body)).await.expect("written");
+    (clients, client)
+}
+
+fn command(class: &str, id: &str, body: usize) -> Vec<u8> {
     let fields = format!("c={class},t=p,d=8000,k=1,units=1,spread=1,first=0");
     let mut command = b"*5\r\n".to_vec();
-    for part in ["Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", &fields] {
+    for part in ["Q.DO", "00000000b4d65521", id, &fields] {
         resp::put_bulk(&mut command, part.as_bytes());
     }
     resp::put_bulk(&mut command, &vec![b'x'; body]);
-    client.write_all(&command).await.expect("written");
-    (clients, client)
+    command
+}
+
+/// Has a client end its sending without a turn for the runtime, and waits until the socket knows.
+fn ends_unseen(client: &TcpStream, clients: &Clients) {
+    SockRef::from(client).shutdown(Shutdown::Write).expect("open");
+    let begun = Instant::now();
+    while clients.gone() == 0 {
+        assert!(begun.elapsed() < LONG, "only the runtime would see it");
+    }
 }
 
 #[test]
@@ -161,3 +174,48 @@
         assert!(came.ends_with(b"$5\r\nxxxxx\r\n"), "{}", String::from_utf8_lossy(&came));
     });
 }
+
+#[test]
+fn what_waits_behind_a_full_pipeline_is_not_begun_once_its_client_has_left_unseen() {
+    play(async {
+        let workers = TcpListener::bind(ANY).await.expect("a port");
+        let (gateway, far) = narrow(&workers).await;
+        let (clients, mut client) = asked(&gateway, "pay", 4).await;
+        far.peek(&mut [0]).await.expect("the first one");
+        client
+            .write_all(&[PING.repeat(127), command("pay", "00000000000000ff", 4)].concat())
+            .await
+            .expect("written");
+        // As many turns as they need to fill the line, with no room for the one behind, and more.
+        for _ in 0..1000 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(gateway.borrow().taken(), 1);
+        ends_unseen(&client, &clients);
+        // A new life of its worker fails the first one, which makes room.
+        let restarted = Target { boot_ms: 1.0, ..worker(workers.local_addr().expect("bound")) };
+        gateway.borrow_mut().update(Update { rev: 2, snapshot: false, targets: vec![restarted] });
+        timeout(LONG, clients.one_left()).await.expect("its end is seen");
+        assert_eq!(gateway.borrow().taken(), 1, "one more has begun");
+    });
+}
+
+#[test]
+fn of_many_commands_the_rest_is_not_begun_once_the_client_has_left_unseen() {
+    play(async {
+        let workers = TcpListener::bind(ANY).await.expect("a port");
+        let (gateway, far) = narrow(&workers).await;
+        let (clients, mut client) = asked(&gateway, "pay", 4).await;
+        far.peek(&mut [0]).await.expect("the first one");
+        let many: Vec<u8> = (0..100).flat_map(|k| command("pay", &format!("{k:016x}"), 4)).collect();
+        client.write_all(&many).await.expect("written");
+        while gateway.borrow().taken() == 1 {
+            tokio::task::yield_now().await;
+        }
+        let taken = gateway.borrow().taken();
+        ends_unseen(&client, &clients);
+        timeout(LONG, clients.one_left()).await.expect("its end is seen");
+        assert!(taken < 100, "all begun in one go");
+        assert_eq!(gateway.borrow().taken(), taken, "more have begun");
+    });
+}
