Count a late connection into the time that a call to discovery has for its head

Cause: the head was waited for 3 s from when the connection had come up, which takes up to 1 s, so that a call could hang for 4 s, with a late head and then silence in the list for 5 s; the wait after it then had no room left.

Change: the head has 3 s from the call's beginning, or from the list where the watch follows it.

Test: told.rs has calls whose connection and head come late and which then fall silent.

--- a/src/host/discovery.rs
+++ b/src/host/discovery.rs
@@ -132,11 +132,10 @@
     mut take: impl FnMut(Update),
     mut at: watch::Receiver<SocketAddr>,
     mut rev: Option<u64>,
-    backoff: Backoff,
+    mut backoff: Backoff,
 ) {
     // Where there is a list to begin with, others that start or move at the same time may go first.
     let mut spread = rev.is_some();
-    let mut backoff = backoff;
     loop {
         let address = *at.borrow_and_update();
         let mut calls =
@@ -203,7 +202,7 @@
             let _ = connection.await;
         });
         if self.rev.is_none() {
-            let body = self.get(&mut call, "/v1/servers").await?.into_body();
+            let body = self.get(&mut call, "/v1/servers", begun).await?.into_body();
             let whole = (begun + LIST).max(Instant::now() + LIST_BODY);
             let text = by(whole, "the list", Limited::new(body, LIST_MOST).collect()).await?.to_bytes();
             let value = serde_json::from_slice(&text).map_err(|e| format!("the list is no JSON: {e}"))?;
@@ -211,7 +210,7 @@
             by(Instant::now() + CONNECT, "the list", call.ready()).await?;
         }
         let path = format!("/v1/servers?stream=1&index={}", self.rev.unwrap_or(0));
-        let mut body = self.get(&mut call, &path).await?.into_body();
+        let mut body = self.get(&mut call, &path, last.unwrap_or(begun)).await?.into_body();
         let mut frames = FrameDecoder::default();
         // Pieces of a line that never ends are no sign of life.
         let mut silent_at = Instant::now() + QUIET;
@@ -237,14 +236,18 @@
         (self.take)(update);
     }
 
+    /// Asks, and waits for the head of the answer: up to `LIST` after this instant at the most, however late the
+    /// connection came up.
     async fn get(
         &self,
         call: &mut SendRequest<Empty<Bytes>>,
         path: &str,
+        since: Instant,
     ) -> Result<Response<Incoming>, String> {
         let request = Request::get(path).header("host", self.address.to_string()).body(Empty::new());
         let request = request.map_err(|e| e.to_string())?;
-        let answer = by(Instant::now() + self.backoff.patience(), path, call.send_request(request)).await?;
+        let end = (Instant::now() + self.backoff.patience()).min(since + LIST);
+        let answer = by(end, path, call.send_request(request)).await?;
         if answer.status() == StatusCode::OK {
             Ok(answer)
         } else {
--- a/tests/host/told.rs
+++ b/tests/host/told.rs
@@ -22,6 +22,10 @@
 /// How often a watch says that it lives.
 const ALIVE: Duration = Duration::from_secs(2);
 
+/// How late a connection and a head may come without being given up, or nearly so.
+const LATE_CONNECTION: Duration = Duration::from_millis(950);
+const LATE_HEAD: Duration = Duration::from_millis(2950);
+
 /// How a call fails while discovery can't be reached. What it has begun by then fails in the same way: watches
 /// that are open fall silent, or are reset where calls are refused or reset.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -32,6 +36,8 @@
     SilentAtHead,
     SilentInList,
     SilentInWatch,
+    /// The connection and the head come late, and then silence.
+    Late,
     CutList,
     Endless,
     Unavailable,
@@ -41,13 +47,14 @@
     Mixed,
 }
 
-const FAULTS: [Fault; 11] = [
+const FAULTS: [Fault; 12] = [
     Fault::Refused,
     Fault::Reset,
     Fault::SilentAtConnection,
     Fault::SilentAtHead,
     Fault::SilentInList,
     Fault::SilentInWatch,
+    Fault::Late,
     Fault::CutList,
     Fault::Endless,
     Fault::Unavailable,
@@ -105,6 +112,7 @@
         match self.fault() {
             Some(Fault::Refused) => return Err(ErrorKind::ConnectionRefused.into()),
             Some(Fault::SilentAtConnection) => return std::future::pending().await,
+            Some(Fault::Late) => sleep(LATE_CONNECTION).await,
             _ => {}
         }
         let (near, far) = duplex(1 << 16);
@@ -145,6 +153,7 @@
                     continue;
                 }
                 Some(Fault::Reset) => return Ok(()),
+                Some(Fault::Late) => sleep(LATE_HEAD).await,
                 Some(_) => {}
                 None => self.turn().await,
             }
@@ -163,7 +172,7 @@
             let (half, rest) = list.split_at(list.len() / 2);
             stream.write_all(half.as_bytes()).await?;
             match fault {
-                Some(Fault::SilentInList) => return silence(stream).await,
+                Some(Fault::SilentInList | Fault::Late) => return silence(stream).await,
                 Some(Fault::CutList) => return Ok(()),
                 Some(Fault::Endless) => return dribble(stream, b" ").await,
                 _ => stream.write_all(rest.as_bytes()).await?,
