Add a digest of all decisions of simulated fleets

The example plays seeded fleets of 3, 20 and 300 gateways against the decision code through its events and actions, in virtual time, and prints one 64-bit hash for each scenario and seed. It serves as a lock on behaviour while the code is restructured: the same decisions give the same lines, whatever the types and fields are called.

--- /dev/null
+++ b/examples/decision_digest/digest.rs
@@ -0,0 +1,110 @@
+//! A 64-bit hash (FNV-1a) over all actions of a fleet.
+//!
+//! The hash reads values only, in a fixed order and with tags of its own, so that it does not
+//! depend on the name of any type or field of the library.
+
+use frostvale::Action;
+
+const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// The running hash of the actions seen so far, and their number.
+pub struct ActionDigest {
+    hash: u64,
+    actions: u64,
+}
+
+impl ActionDigest {
+    /// A digest of no actions.
+    pub fn new() -> ActionDigest {
+        ActionDigest {
+            hash: OFFSET_BASIS,
+            actions: 0,
+        }
+    }
+
+    /// The hash so far.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// The number of actions so far.
+    pub fn actions(&self) -> u64 {
+        self.actions
+    }
+
+    /// Adds one action that a gateway took at a time.
+    pub fn record(&mut self, gateway: usize, now: f64, action: &Action) {
+        self.actions += 1;
+        self.integer(gateway as u64);
+        self.float(now);
+        match action {
+            Action::Send {
+                id,
+                server,
+                not_past,
+            } => {
+                self.tag(1);
+                self.integer(*id);
+                self.text(server);
+                self.float(*not_past);
+            }
+            Action::Refuse { id, pause } => {
+                self.tag(2);
+                self.integer(*id);
+                self.float(*pause);
+            }
+            Action::Fail { id } => {
+                self.tag(3);
+                self.integer(*id);
+            }
+            Action::Cancel { id, attempt } => {
+                self.tag(4);
+                self.integer(*id);
+                self.integer(u64::from(*attempt));
+            }
+            Action::Probe { server } => {
+                self.tag(5);
+                self.text(server);
+            }
+            Action::Tell { to, text } => {
+                self.tag(6);
+                self.integer(u64::from(*to));
+                self.text(text);
+            }
+            Action::SetTimer { token, after } => {
+                self.tag(7);
+                self.integer(*token);
+                self.float(*after);
+            }
+            Action::Log { text } => {
+                self.tag(8);
+                self.text(text);
+            }
+        }
+    }
+
+    fn bytes(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.hash = (self.hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+        }
+    }
+
+    fn tag(&mut self, tag: u8) {
+        self.bytes(&[tag]);
+    }
+
+    fn integer(&mut self, value: u64) {
+        self.bytes(&value.to_le_bytes());
+    }
+
+    fn float(&mut self, value: f64) {
+        self.integer(value.to_bits());
+    }
+
+    /// The length goes first, so that two texts in a row cannot be confused with two others.
+    fn text(&mut self, text: &str) {
+        self.integer(text.len() as u64);
+        self.bytes(text.as_bytes());
+    }
+}
--- /dev/null
+++ b/examples/decision_digest/main.rs
@@ -0,0 +1,80 @@
+//! Plays seeded fleets of gateways against the decision code and prints a digest of all actions.
+//!
+//! One line for each scenario and seed: name, seed, number of actions, digest. The same code
+//! prints the same lines on every run, and a change of any decision changes a digest.
+//!
+//! Usage: `decision_digest [--list] [SCENARIO...]`
+
+mod clients;
+mod digest;
+mod endpoint;
+mod fleet;
+mod scenario;
+
+use scenario::Scenario;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// The number of threads that play scenarios.
+const THREADS: usize = 3;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let scenarios = scenario::all();
+    if arguments.iter().any(|argument| argument == "--list") {
+        for scenario in &scenarios {
+            println!("{}", scenario.name);
+        }
+        return ExitCode::SUCCESS;
+    }
+    if let Some(unknown) = arguments
+        .iter()
+        .find(|name| scenarios.iter().all(|scenario| scenario.name != **name))
+    {
+        eprintln!("there is no scenario {unknown:?}; --list names all of them");
+        return ExitCode::FAILURE;
+    }
+    let chosen = |scenario: &&Scenario| {
+        arguments.is_empty() || arguments.iter().any(|name| name == scenario.name)
+    };
+    let runs: Vec<(&Scenario, u64)> = scenarios
+        .iter()
+        .filter(chosen)
+        .flat_map(|scenario| scenario.seeds.iter().map(move |seed| (scenario, *seed)))
+        .collect();
+    for line in play_all(&runs) {
+        println!("{line}");
+    }
+    ExitCode::SUCCESS
+}
+
+/// Plays all runs in a few threads and gives their output lines in the order of the runs.
+fn play_all(runs: &[(&Scenario, u64)]) -> Vec<String> {
+    let next = AtomicUsize::new(0);
+    let worker = || {
+        let mut lines = Vec::new();
+        loop {
+            let index = next.fetch_add(1, Ordering::Relaxed);
+            let Some((scenario, seed)) = runs.get(index) else {
+                return lines;
+            };
+            lines.push((index, play(scenario, *seed)));
+        }
+    };
+    let mut lines: Vec<(usize, String)> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(worker)).collect();
+        threads
+            .into_iter()
+            .flat_map(|thread| thread.join().expect("a scenario does not panic"))
+            .collect()
+    });
+    lines.sort();
+    lines.into_iter().map(|(_, line)| line).collect()
+}
+
+/// Plays one scenario with one seed and gives its output line.
+fn play(scenario: &Scenario, seed: u64) -> String {
+    let digest = fleet::Fleet::new(scenario, seed).play();
+    let (actions, hash) = (digest.actions(), digest.hash());
+    format!("{} {seed} {actions} {hash:016x}", scenario.name)
+}
