--- a/tests/host/support.rs
+++ b/tests/host/support.rs
@@ -1,7 +1,7 @@
 //! What the tests of the host share.
 
-use frostvale::Conf;
-use frostvale::host::config::Config;
+use marlshelf::SettingsDocument;
+use marlshelf::gateway::configuration::Configuration;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,8 +16,8 @@
 pub const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
 
 /// What a gatekeeper that is alone is told.
-pub fn config(here: SocketAddr) -> Config {
-    let conf: Conf = serde_json::from_value(serde_json::json!({
+pub fn config(here: SocketAddr) -> Configuration {
+    let conf: SettingsDocument = serde_json::from_value(serde_json::json!({
         "Balancers": 1,
         "Bounds": {"ConnectTimeout": 5000.0},
         "Classes": [
@@ -28,7 +28,7 @@
         "Plans": [{"Name": "p", "UnitsPerS": 10.0, "PeakUnits": 10.0, "ValueFactor": 1.0}],
     }))
     .expect("sound settings");
-    Config {
+    Configuration {
         name: String::new(),
         listen: here,
         discovery: here,
@@ -37,14 +37,17 @@
         memory: 32 << 20,
         peer_listen: None,
         peers: Vec::new(),
-        known: None,
+        known_endpoints: None,
         settings: conf.settings(),
-        conf,
+        document: conf,
     }
 }
 
 pub fn play(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
     LocalSet::new().block_on(&runtime, test);
 }
 
@@ -57,6 +60,9 @@
 
 pub async fn rest(client: &mut TcpStream) -> String {
     let mut rest = String::new();
-    timeout(LONG, client.read_to_string(&mut rest)).await.expect("it is closed").expect("and not reset");
+    timeout(LONG, client.read_to_string(&mut rest))
+        .await
+        .expect("it is closed")
+        .expect("and not reset");
     rest
 }
--- a/tests/host/told.rs
+++ b/tests/host/told.rs
@@ -2,9 +2,9 @@
 //! when it could be reached again.
 
 use crate::support::LONG;
-use frostvale::Conf;
-use frostvale::host::backoff::Backoff;
-use frostvale::host::discovery::{self, Connect, Update};
+use marlshelf::SettingsDocument;
+use marlshelf::gateway::backoff::Backoff;
+use marlshelf::gateway::discovery::{self, Connect, EndpointUpdate};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, RefCell};
@@ -98,7 +98,9 @@
     fn fault(&self) -> Option<Fault> {
         match *self.state.borrow() {
             State::Up => None,
-            State::Down(Fault::Mixed) => Some(FAULTS[self.rng.borrow_mut().random_range(0..FAULTS.len())]),
+            State::Down(Fault::Mixed) => {
+                Some(FAULTS[self.rng.borrow_mut().random_range(0..FAULTS.len())])
+            }
             State::Down(fault) => Some(fault),
         }
     }
@@ -146,7 +148,9 @@
             match fault {
                 Some(Fault::SilentAtHead) => return silence(stream).await,
                 Some(Fault::Unavailable) => {
-                    stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").await?;
+                    stream
+                        .write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+                        .await?;
                     continue;
                 }
                 Some(Fault::Redirect) => {
@@ -164,10 +168,16 @@
             if fault.is_none() && *self.state.borrow() != State::Up {
                 return silence(stream).await;
             }
-            let rev = if fault == Some(Fault::OldRev) { 0 } else { self.rev.get() };
+            let rev = if fault == Some(Fault::OldRev) {
+                0
+            } else {
+                self.rev.get()
+            };
             let list = self.list(rev);
             if watches {
-                stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+                stream
+                    .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    .await?;
                 return self.watch(stream, &head, fault).await;
             }
             let size = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
@@ -184,8 +194,16 @@
     }
 
     /// Tells of changes until discovery goes down or nobody listens.
-    async fn watch(&self, mut stream: DuplexStream, head: &str, fault: Option<Fault>) -> io::Result<()> {
-        let known = head.split("index=").nth(1).and_then(|tail| tail.split(' ').next()?.parse().ok());
+    async fn watch(
+        &self,
+        mut stream: DuplexStream,
+        head: &str,
+        fault: Option<Fault>,
+    ) -> io::Result<()> {
+        let known = head
+            .split("index=")
+            .nth(1)
+            .and_then(|tail| tail.split(' ').next()?.parse().ok());
         let mut known: u64 = known.unwrap_or_default();
         match fault {
             None => {}
@@ -199,20 +217,32 @@
         }
         let mut state = self.state.subscribe();
         loop {
-            let says = if known == self.rev.get() { String::new() } else { self.list(self.rev.get()) };
+            let says = if known == self.rev.get() {
+                String::new()
+            } else {
+                self.list(self.rev.get())
+            };
             known = self.rev.get();
             chunk(&mut stream, &says).await?;
-            let down = timeout(ALIVE, state.wait_for(|state| *state != State::Up)).await.is_ok();
+            let down = timeout(ALIVE, state.wait_for(|state| *state != State::Up))
+                .await
+                .is_ok();
             if down {
                 let resets = matches!(self.fault(), Some(Fault::Refused | Fault::Reset));
-                return if resets { Ok(()) } else { silence(stream).await };
+                return if resets {
+                    Ok(())
+                } else {
+                    silence(stream).await
+                };
             }
         }
     }
 }
 
 async fn chunk(stream: &mut DuplexStream, line: &str) -> io::Result<()> {
-    stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).await
+    stream
+        .write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes())
+        .await
 }
 
 /// Says nothing more, and keeps the connection open for as long as the other end does.
@@ -237,7 +267,11 @@
     type Stream = DuplexStream;
 
     async fn connect(&self, at: SocketAddr) -> io::Result<DuplexStream> {
-        let (_, service) = self.services.iter().find(|(here, _)| *here == at).expect("an address of ours");
+        let (_, service) = self
+            .services
+            .iter()
+            .find(|(here, _)| *here == at)
+            .expect("an address of ours");
         service.open().await
     }
 }
@@ -256,26 +290,41 @@
 }
 
 /// What a gatekeeper of so many is told of discovery.
-fn conf(gateways: u32, how: &str) -> Conf {
+fn conf(gateways: u32, how: &str) -> SettingsDocument {
     let conf = serde_json::json!({"Balancers": gateways, "Discovery": how, "Classes": []});
     serde_json::from_value(conf).expect("sound settings")
 }
 
 impl Fleet {
     /// Starts them all at one stroke, with a list of this version in hand or none.
-    fn start(services: &[(SocketAddr, Rc<Service>)], conf: &Conf, seed: u64, known: Option<u64>) -> Fleet {
+    fn start(
+        services: &[(SocketAddr, Rc<Service>)],
+        conf: &SettingsDocument,
+        seed: u64,
+        known: Option<u64>,
+    ) -> Fleet {
         let services = Rc::new(services.to_vec());
-        let told = Rc::new(RefCell::new(vec![(0, Instant::now()); conf.gateways() as usize]));
-        let moves = (0..conf.gateways()).map(|me| {
+        let told = Rc::new(RefCell::new(vec![
+            (0, Instant::now());
+            conf.gateway_count() as usize
+        ]));
+        let moves = (0..conf.gateway_count()).map(|me| {
             let (moves, at) = watch::channel(services[0].0);
             let told = told.clone();
-            let take = move |update: Update| told.borrow_mut()[me as usize] = (update.rev, Instant::now());
+            let take = move |update: EndpointUpdate| {
+                told.borrow_mut()[me as usize] = (update.revision, Instant::now())
+            };
             let backoff = Backoff::new(conf, seed << 32 | u64::from(me));
-            let network = Network { services: services.clone() };
+            let network = Network {
+                services: services.clone(),
+            };
             spawn_local(discovery::follow(network, take, at, known, backoff));
             moves
         });
-        Fleet { moves: moves.collect(), told }
+        Fleet {
+            moves: moves.collect(),
+            told,
+        }
     }
 
     /// How long after this instant the last of them was told this version, once all were.
@@ -285,14 +334,31 @@
                 sleep(Duration::from_millis(10)).await;
             }
         };
-        let missing = || self.told.borrow().iter().filter(|(told, _)| *told < rev).count();
-        timeout(2 * LONG, all).await.unwrap_or_else(|_| panic!("{} are not told", missing()));
-        self.told.borrow().iter().map(|(_, at)| at.saturating_duration_since(since)).max().unwrap_or_default()
+        let missing = || {
+            self.told
+                .borrow()
+                .iter()
+                .filter(|(told, _)| *told < rev)
+                .count()
+        };
+        timeout(2 * LONG, all)
+            .await
+            .unwrap_or_else(|_| panic!("{} are not told", missing()));
+        self.told
+            .borrow()
+            .iter()
+            .map(|(_, at)| at.saturating_duration_since(since))
+            .max()
+            .unwrap_or_default()
     }
 }
 
-const HAPPENS: [Meanwhile; 4] =
-    [Meanwhile::Nothing, Meanwhile::Start, Meanwhile::StartEmpty, Meanwhile::Move];
+const HAPPENS: [Meanwhile; 4] = [
+    Meanwhile::Nothing,
+    Meanwhile::Start,
+    Meanwhile::StartEmpty,
+    Meanwhile::Move,
+];
 
 /// What else happens while discovery can't be reached.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -322,32 +388,59 @@
     /// What a call costs the one service of all: it can answer 300 of them in 3 s, and larger fleets as fast. An
     /// agent on a gatekeeper's own machine has the list at hand.
     fn cost(&self) -> Duration {
-        if self.how == "automatic" { Duration::ZERO } else { Duration::from_secs(3) / self.gateways.max(300) }
+        if self.how == "automatic" {
+            Duration::ZERO
+        } else {
+            Duration::from_secs(3) / self.gateways.max(300)
+        }
     }
 
     /// Plays it. Gives how long after it the last gatekeeper was told of what had changed.
     async fn last_told(self) -> Duration {
-        let Outage { seed, fault, meanwhile, .. } = self;
-        let (old, new) = (Service::new(seed, self.cost()), Service::new(seed + 1, self.cost()));
+        let Outage {
+            seed,
+            fault,
+            meanwhile,
+            ..
+        } = self;
+        let (old, new) = (
+            Service::new(seed, self.cost()),
+            Service::new(seed + 1, self.cost()),
+        );
         let services = [(address(OLD), old.clone()), (address(NEW), new.clone())];
         let conf = conf(self.gateways, self.how);
-        let served = if meanwhile == Meanwhile::Move { &new } else { &old };
+        let served = if meanwhile == Meanwhile::Move {
+            &new
+        } else {
+            &old
+        };
         let fleet = match meanwhile {
             Meanwhile::Nothing | Meanwhile::Move => {
                 let fleet = Fleet::start(&services, &conf, seed, None);
                 fleet.all_told(1, Instant::now()).await;
                 // Where in their watches the gatekeepers are is left to chance.
-                sleep(Duration::from_millis(Pcg64Mcg::seed_from_u64(seed).random_range(5000..9000))).await;
+                sleep(Duration::from_millis(
+                    Pcg64Mcg::seed_from_u64(seed).random_range(5000..9000),
+                ))
+                .await;
                 served.state.send_replace(State::Down(fault));
                 fleet
             }
             Meanwhile::Start | Meanwhile::StartEmpty => {
                 served.state.send_replace(State::Down(fault));
-                Fleet::start(&services, &conf, seed, (meanwhile == Meanwhile::Start).then_some(1))
+                Fleet::start(
+                    &services,
+                    &conf,
+                    seed,
+                    (meanwhile == Meanwhile::Start).then_some(1),
+                )
             }
         };
         if meanwhile == Meanwhile::Move {
-            fleet.moves.iter().for_each(|at| at.send(address(NEW)).expect("followed"));
+            fleet
+                .moves
+                .iter()
+                .for_each(|at| at.send(address(NEW)).expect("followed"));
         }
         sleep(self.lasts).await;
         served.rev.set(2);
@@ -358,11 +451,21 @@
 
     /// Plays it on a clock of its own, and has all told in time.
     fn is_survived(self) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build();
         let last = LocalSet::new().block_on(&runtime.expect("a runtime"), self.last_told());
         // What a watch misses that has fallen silent counts as told so long after that.
-        let silent = if self.fault == Fault::LateWatch { LATE_HEAD } else { Duration::ZERO };
-        assert!(last <= silent + TOLD, "{self:?}: the last is told after {last:?}");
+        let silent = if self.fault == Fault::LateWatch {
+            LATE_HEAD
+        } else {
+            Duration::ZERO
+        };
+        assert!(
+            last <= silent + TOLD,
+            "{self:?}: the last is told after {last:?}"
+        );
     }
 }
 
@@ -387,9 +490,17 @@
 #[test]
 fn every_fault_leaves_every_fleet_told_in_time() {
     let all = FAULTS.into_iter().chain([Fault::Mixed]);
-    let all = all.flat_map(|fault| HAPPENS.map(|meanwhile| Outage { fault, meanwhile, ..HANGS }));
+    let all = all.flat_map(|fault| {
+        HAPPENS.map(|meanwhile| Outage {
+            fault,
+            meanwhile,
+            ..HANGS
+        })
+    });
     for outage in all.flat_map(|outage| WAYS.map(|how| Outage { how, ..outage })) {
-        [1, 30, 300].into_iter().for_each(|gateways| Outage { gateways, ..outage }.is_survived());
+        [1, 30, 300]
+            .into_iter()
+            .for_each(|gateways| Outage { gateways, ..outage }.is_survived());
     }
 }
 
@@ -397,7 +508,13 @@
 fn a_fleet_of_2900_is_told_in_time() {
     for fault in [Fault::Refused, Fault::SilentAtHead, Fault::Mixed] {
         for meanwhile in HAPPENS {
-            Outage { gateways: 2900, fault, meanwhile, ..HANGS }.is_survived();
+            Outage {
+                gateways: 2900,
+                fault,
+                meanwhile,
+                ..HANGS
+            }
+            .is_survived();
         }
     }
 }
@@ -406,16 +523,32 @@
 fn watches_that_fall_silent_at_one_stroke_are_opened_anew_in_time() {
     // Calls are answered again a moment later, but nothing tells the watches.
     let lasts = Duration::from_millis(1);
-    for outage in WAYS.map(|how| Outage { how, lasts, fault: Fault::SilentInWatch, ..HANGS }) {
+    for outage in WAYS.map(|how| Outage {
+        how,
+        lasts,
+        fault: Fault::SilentInWatch,
+        ..HANGS
+    }) {
         for gateways in [1, 30, 300, 2900] {
-            (0..5).for_each(|seed| Outage { gateways, seed, ..outage }.is_survived());
+            (0..5).for_each(|seed| {
+                Outage {
+                    gateways,
+                    seed,
+                    ..outage
+                }
+                .is_survived()
+            });
         }
     }
 }
 
 #[test]
 fn watches_whose_head_comes_late_before_they_fall_silent_are_opened_anew_in_time() {
-    for outage in WAYS.map(|how| Outage { how, fault: Fault::LateWatch, ..HANGS }) {
+    for outage in WAYS.map(|how| Outage {
+        how,
+        fault: Fault::LateWatch,
+        ..HANGS
+    }) {
         (0..10).for_each(|seed| Outage { seed, ..outage }.is_survived());
     }
 }
@@ -424,6 +557,13 @@
 fn outages_of_any_length_leave_all_told_in_time() {
     for seed in 0..40 {
         let lasts = Duration::from_millis(250 * (seed + 1));
-        Outage { gateways: 100, fault: Fault::Mixed, lasts, seed, ..HANGS }.is_survived();
+        Outage {
+            gateways: 100,
+            fault: Fault::Mixed,
+            lasts,
+            seed,
+            ..HANGS
+        }
+        .is_survived();
     }
 }
--- a/tests/node/clients.rs
+++ b/tests/node/clients.rs
@@ -14,8 +14,18 @@
     let bad = [
         words(&["GET", "x"]),
         words(&["Q.ASK"]),
-        words(&["Q.ASK", "00000002b4d65521", ID, "c=read,t=p,d=9,units=1,spread=1,first=0"]),
-        words(&["Q.ASK", "00000000b4d65521", "short", "c=read,t=p,d=9,units=1,spread=1,first=0"]),
+        words(&[
+            "Q.ASK",
+            "00000002b4d65521",
+            ID,
+            "c=read,t=p,d=9,units=1,spread=1,first=0",
+        ]),
+        words(&[
+            "Q.ASK",
+            "00000000b4d65521",
+            "short",
+            "c=read,t=p,d=9,units=1,spread=1,first=0",
+        ]),
         fields("c=read,t=p,units=1,spread=1,first=0"),
         fields("c=read,t=p,d=-1,units=1,spread=1,first=0"),
         fields("c=read,t=p,d=,units=1,spread=1,first=0"),
@@ -29,12 +39,22 @@
         fields("c=read,t=p,d=9,d=9,units=1,spread=1,first=0"),
         fields("c=order,t=p,d=9,k=1,units=1,spread=1,first=0"),
         fields("nonsense"),
-        words(&["Q.DO", "00000000b4d65521", ID, "c=order,t=p,d=9,units=1,spread=1,first=0", "B"]),
+        words(&[
+            "Q.DO",
+            "00000000b4d65521",
+            ID,
+            "c=order,t=p,d=9,units=1,spread=1,first=0",
+            "B",
+        ]),
     ];
     for command in bad {
         client.say(&command);
         let answer = client.answer();
-        assert!(answer.starts_with("-ERR "), "{} gets {answer}", String::from_utf8_lossy(&command));
+        assert!(
+            answer.starts_with("-ERR "),
+            "{} gets {answer}",
+            String::from_utf8_lossy(&command)
+        );
     }
     client.say(words(&["PING"]));
     assert_eq!(client.answer(), "+PONG");
@@ -90,13 +110,19 @@
     let (mut silent, mut half, mut dribble) = (node.client(), node.client(), node.client());
     half.say("*2\r\n$4\r\nPI");
     let mut drops = dribble.read.get_ref().try_clone().expect("a socket");
-    drops.write_all(b"*2\r\n$4\r\nPING\r\n$60000\r\n").expect("written");
+    drops
+        .write_all(b"*2\r\n$4\r\nPING\r\n$60000\r\n")
+        .expect("written");
     thread::spawn(move || {
         while drops.write_all(b"x").is_ok() {
             thread::sleep(RESTED)
         }
     });
-    for (what, client) in [("silent", &mut silent), ("half", &mut half), ("dribble", &mut dribble)] {
+    for (what, client) in [
+        ("silent", &mut silent),
+        ("half", &mut half),
+        ("dribble", &mut dribble),
+    ] {
         assert!(client.answer().starts_with("-ERR protocol error"), "{what}");
         assert!(client.ended(), "{what}");
     }
@@ -110,7 +136,11 @@
 fn a_flood_of_silent_newcomers_pushes_out_nobody_who_has_asked() {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    let node = Setup {
+        sockets: 64,
+        ..Setup::new(discovery.at)
+    }
+    .start();
     let mut client = node.client();
     client.say(ask(5000));
     let mut line = worker.next();
@@ -131,7 +161,11 @@
 fn clients_that_ask_nothing_more_leave_a_table_that_fills() {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    let node = Setup {
+        sockets: 64,
+        ..Setup::new(discovery.at)
+    }
+    .start();
     let begun = Instant::now();
     // 21 have room; these are over half and no more.
     let mut stay: Vec<Line> = (0..16).map(|_| node.client()).collect();
@@ -140,19 +174,29 @@
         assert_eq!(client.answer(), "+PONG");
     }
     assert!(stay[0].ended());
-    assert!(begun.elapsed() >= Duration::from_millis(1500), "not at once");
+    assert!(
+        begun.elapsed() >= Duration::from_millis(1500),
+        "not at once"
+    );
 }
 
 #[test]
 fn commands_that_are_half_here_are_bounded_together() {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let node = Setup { memory_mb: 32, ..Setup::new(discovery.at) }.start();
+    let node = Setup {
+        memory_mb: 32,
+        ..Setup::new(discovery.at)
+    }
+    .start();
     let half = [&b"*2\r\n$4\r\nPING\r\n$65000\r\n"[..], &[b'x'; 60_000]].concat();
     let mut clients: Vec<Line> = (0..150).map(|_| node.client()).collect();
     clients.iter_mut().for_each(|client| client.say(&half));
     let answers: Vec<String> = clients.iter_mut().map(Line::answer).collect();
-    assert!(answers.iter().all(|a| a.starts_with("-ERR protocol error")), "{answers:?}");
+    assert!(
+        answers.iter().all(|a| a.starts_with("-ERR protocol error")),
+        "{answers:?}"
+    );
     assert!(answers.iter().any(|a| a.contains("no room")), "{answers:?}");
 }
 
@@ -160,7 +204,11 @@
 fn idle_clients_make_room_at_the_limit() {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    let node = Setup {
+        sockets: 64,
+        ..Setup::new(discovery.at)
+    }
+    .start();
     let mut clients: Vec<Line> = Vec::new();
     for _ in 0..80 {
         let mut client = node.client();
@@ -176,7 +224,11 @@
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
     // The system gives fewer than the configuration promises.
-    let node = Setup { shell: "ulimit -n 32; exec".into(), ..Setup::new(discovery.at) }.start();
+    let node = Setup {
+        shell: "ulimit -n 32; exec".into(),
+        ..Setup::new(discovery.at)
+    }
+    .start();
     let mut clients: Vec<Line> = Vec::new();
     for _ in 0..60 {
         let mut client = node.client();
@@ -209,14 +261,19 @@
     ];
     for (what, text, word) in cases {
         let path = write_config(text);
-        let run =
-            Command::new(env!("CARGO_BIN_EXE_frostvale")).env("GW_CONFIG", &path).output().expect("runs");
+        let run = Command::new(env!("CARGO_BIN_EXE_marlshelf-gateway"))
+            .env("GW_CONFIG", &path)
+            .output()
+            .expect("runs");
         let _ = std::fs::remove_file(path);
         let error = String::from_utf8(run.stderr).expect("text");
         assert!(!run.status.success(), "{what} passes");
         assert_eq!(error.lines().count(), 1, "{what}: {error}");
         assert!(error.contains(word), "{what}: {error}");
     }
-    let run = Command::new(env!("CARGO_BIN_EXE_frostvale")).env_remove("GW_CONFIG").output().expect("runs");
+    let run = Command::new(env!("CARGO_BIN_EXE_marlshelf-gateway"))
+        .env_remove("GW_CONFIG")
+        .output()
+        .expect("runs");
     assert!(!run.status.success() && String::from_utf8_lossy(&run.stderr).contains("GW_CONFIG"));
 }
--- a/tests/node/departures.rs
+++ b/tests/node/departures.rs
@@ -13,7 +13,9 @@
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
     let usual = r#""PeakUnits":1000.0"#;
-    let config = Setup::new(discovery.at).config().replace(usual, &format!(r#"{usual},"MaxOut":{count}"#));
+    let config = Setup::new(discovery.at)
+        .config()
+        .replace(usual, &format!(r#"{usual},"MaxOut":{count}"#));
     let node = start(&config, "exec");
     (worker, discovery, node)
 }
@@ -33,7 +35,11 @@
     let mut next = node.client();
     next.say(ask_as("00000000000000ff", 8000));
     let mut line = worker.within(&mut out, LONG).unwrap_or(out);
-    assert_ne!(line.command()[2], left, "sent on though its client has left");
+    assert_ne!(
+        line.command()[2],
+        left,
+        "sent on though its client has left"
+    );
     line.serve("next");
     assert_eq!(next.answer(), "next");
 }
@@ -60,7 +66,9 @@
     out.command();
     waits.say([ask_as(ID, 8000), words(&["PING"]).repeat(2000)].concat());
     taken_in(&node);
-    socket2::SockRef::from(waits.read.get_ref()).set_linger(Some(std::time::Duration::ZERO)).expect("open");
+    socket2::SockRef::from(waits.read.get_ref())
+        .set_linger(Some(std::time::Duration::ZERO))
+        .expect("open");
     drop(waits);
     // What came before it is taken in once this is answered.
     other.say(words(&["PING"]));
@@ -92,7 +100,10 @@
     idle.say(words(&["PING"]));
     assert_eq!(idle.answer(), "+PONG");
     node.signal("-TERM");
-    assert!(idle.ended(), "from here on connections are only kept for what is in hand");
+    assert!(
+        idle.ended(),
+        "from here on connections are only kept for what is in hand"
+    );
     waits.leaves("shutdown");
     out.serve("first");
     assert_eq!(first.answer(), "first");
@@ -113,9 +124,17 @@
     let parts: Vec<&str> = question.split(',').collect();
     assert_eq!(parts[0], "a", "{question}");
     client.leaves("a question that is out");
-    peer.send_to(format!("g,{},1,{},1.0,1.0,1.0,9.0;", parts[1], parts[3]).as_bytes(), own).expect("sent");
+    peer.send_to(
+        format!("g,{},1,{},1.0,1.0,1.0,9.0;", parts[1], parts[3]).as_bytes(),
+        own,
+    )
+    .expect("sent");
     let (len, _) = peer.recv_from(&mut bytes).expect("its units come back");
-    assert!(bytes[..len].starts_with(b"t,"), "{}", String::from_utf8_lossy(&bytes[..len]));
+    assert!(
+        bytes[..len].starts_with(b"t,"),
+        "{}",
+        String::from_utf8_lossy(&bytes[..len])
+    );
     node.signal("-TERM");
     node.signal("-TERM");
     assert!(node.exit().success());
@@ -154,7 +173,10 @@
     client.say(ask_as(ID, 8000));
     let mut out = one.next();
     out.command();
-    push(&mut watch, &list(2, false, &[target("s-2", two.at, "ready", 0)]));
+    push(
+        &mut watch,
+        &list(2, false, &[target("s-2", two.at, "ready", 0)]),
+    );
     client.leaves("an attempt that is out");
     out.read.get_ref().shutdown(Shutdown::Both).expect("open");
     // What came before it is taken in once the watch is opened again over this.
@@ -162,7 +184,10 @@
     discovery.watch();
     let mut other = node.client();
     let _ = other.read.get_mut().write_all(&ask(8000));
-    let mut line = two.within(&mut out, LONG).or_else(|| Some(one.next())).expect("a connection");
+    let mut line = two
+        .within(&mut out, LONG)
+        .or_else(|| Some(one.next()))
+        .expect("a connection");
     assert_ne!(line.command()[2], ID, "sent on though its client has left");
 }
 
@@ -181,7 +206,12 @@
 /// All that goes out, on one of these connections or on a new one, is the next request: nobody has left whose
 /// request did. It is of a customer who has all places free.
 /// Gives the connections.
-fn only_the_next_goes_out(worker: &Door, node: &Node, mut open: Vec<Line>, what: &str) -> Vec<Line> {
+fn only_the_next_goes_out(
+    worker: &Door,
+    node: &Node,
+    mut open: Vec<Line>,
+    what: &str,
+) -> Vec<Line> {
     let mut next = node.client();
     next.say(ask_of(NEXT, 8000));
     until("something goes out", || {
@@ -192,7 +222,11 @@
         if !line.speaks() {
             continue;
         }
-        assert_eq!(line.command()[1], NEXT, "{what}: sent on though its client has left");
+        assert_eq!(
+            line.command()[1],
+            NEXT,
+            "{what}: sent on though its client has left"
+        );
         line.serve("next");
     }
     assert_eq!(next.answer(), "next");
@@ -226,7 +260,12 @@
             node.leave(how, &mut left);
             node.resume();
             assert_eq!(first.answer(), "first");
-            only_the_next_goes_out(&worker, &node, vec![out, spare], &format!("{how:?}, {behind} behind"));
+            only_the_next_goes_out(
+                &worker,
+                &node,
+                vec![out, spare],
+                &format!("{how:?}, {behind} behind"),
+            );
         }
     }
 }
@@ -266,7 +305,9 @@
 /// A request whose customer's only keeper is the peer.
 fn asks_the_peer(wait: u32) -> Vec<u8> {
     let request = String::from_utf8(ask(wait)).expect("text");
-    request.replace("units=1,spread=1,first=0", "units=1,spread=1,first=1").into_bytes()
+    request
+        .replace("units=1,spread=1,first=0", "units=1,spread=1,first=1")
+        .into_bytes()
 }
 
 /// The peer's answer to each question in this note: its units are granted.
@@ -276,7 +317,10 @@
         assert_eq!(parts[0], "a", "{note}");
         format!("g,{},1,{},{},1.0,1.0,9.0;", parts[1], parts[3], parts[4])
     };
-    note.split(';').filter(|item| !item.is_empty()).map(grant).collect()
+    note.split(';')
+        .filter(|item| !item.is_empty())
+        .map(grant)
+        .collect()
 }
 
 /// The questions of so many requests, as they come. Each is put once more where no answer comes.
@@ -309,8 +353,10 @@
         node.resume();
         if ending {
             // It goes on answering its peers unless it is told once more.
-            peer.send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own).expect("sent");
-            peer.recv_from(&mut [0; 512]).expect("it has taken in all before that");
+            peer.send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own)
+                .expect("sent");
+            peer.recv_from(&mut [0; 512])
+                .expect("it has taken in all before that");
             node.signal("-TERM");
             assert!(node.exit().success());
             let nothing = spare.ended() && worker.nobody();
@@ -343,7 +389,10 @@
         node.resume();
         if ending {
             assert!(node.exit().success());
-            assert!(late.ended() && door.nobody(), "{how:?}: sent on though its client has left");
+            assert!(
+                late.ended() && door.nobody(),
+                "{how:?}: sent on though its client has left"
+            );
         } else {
             only_the_next_goes_out(&door, &node, vec![late], &format!("{how:?}"));
         }
@@ -354,7 +403,10 @@
 /// A gatekeeper with a connection to each of two workers that has rested, and both of them.
 fn two_workers() -> (Vec<Line>, [Door; 2], Discovery, Node) {
     let doors = [Door::open(), Door::open()];
-    let listed = [target("s-1", doors[0].at, "ready", 0), target("s-2", doors[1].at, "ready", 0)];
+    let listed = [
+        target("s-1", doors[0].at, "ready", 0),
+        target("s-2", doors[1].at, "ready", 0),
+    ];
     let discovery = Discovery::with(list(1, true, &listed));
     let node = Setup::new(discovery.at).start();
     let (mut lines, mut clients) = (Vec::new(), Vec::new());
@@ -363,7 +415,12 @@
         client.say(ask(8000));
         // While one of them has a request out, the next one goes to the other.
         until("it is sent on", || {
-            lines.extend(doors.iter().filter_map(|door| door.came.try_recv().ok()).map(Line::of));
+            lines.extend(
+                doors
+                    .iter()
+                    .filter_map(|door| door.came.try_recv().ok())
+                    .map(Line::of),
+            );
             lines.len() > clients.len()
         });
         clients.push(client);
@@ -380,14 +437,20 @@
 #[test]
 fn whose_attempt_fails_as_it_leaves_gets_no_further_one() {
     let failures: [&[u8]; 3] = [b"", b"-BUSY\r\n", b"-ERR failed\r\n"];
-    for (how, failure) in WAYS.iter().flat_map(|how| failures.map(|failure| (*how, failure))) {
+    for (how, failure) in WAYS
+        .iter()
+        .flat_map(|how| failures.map(|failure| (*how, failure)))
+    {
         for ending in [false, true] {
             let what = format!("{how:?}, {:?}, {ending}", String::from_utf8_lossy(failure));
             let (mut lines, doors, _discovery, mut node) = two_workers();
             let mut waits = node.client();
             waits.say(ask_as(ID, 8000));
             until("it is sent on", || lines.iter_mut().any(Line::speaks));
-            let at = lines.iter_mut().position(Line::speaks).expect("one of them");
+            let at = lines
+                .iter_mut()
+                .position(Line::speaks)
+                .expect("one of them");
             let (mut out, mut other) = (lines.remove(at), lines.remove(0));
             assert_eq!(out.command()[2], ID);
             if ending {
@@ -408,15 +471,24 @@
                 node.signal("-KILL");
                 node.exit();
             }
-            assert!(other.ended(), "{what}: a further attempt though its client has left");
-            assert!(doors.iter().all(Door::nobody), "{what}: a further attempt though its client has left");
+            assert!(
+                other.ended(),
+                "{what}: a further attempt though its client has left"
+            );
+            assert!(
+                doors.iter().all(Door::nobody),
+                "{what}: a further attempt though its client has left"
+            );
         }
     }
 }
 
 #[test]
 fn a_request_that_comes_with_the_end_of_its_client_is_not_sent_on() {
-    for (how, count) in WAYS.iter().flat_map(|how| [(*how, 1), (*how, 100), (*how, 300)]) {
+    for (how, count) in WAYS
+        .iter()
+        .flat_map(|how| [(*how, 1), (*how, 100), (*how, 300)])
+    {
         for known in [true, false] {
             let (worker, _discovery, mut node) = one_worker();
             let mut first = node.client();
@@ -449,7 +521,11 @@
     let mut client = node.client();
     node.halt();
     client.say(words(&["PING"]));
-    client.read.get_ref().shutdown(Shutdown::Write).expect("open");
+    client
+        .read
+        .get_ref()
+        .shutdown(Shutdown::Write)
+        .expect("open");
     node.resume();
     assert_eq!(client.answer(), "+PONG");
     assert!(client.ended());
@@ -473,8 +549,9 @@
     for (how, ending) in WAYS.iter().flat_map(|how| [(*how, false), (*how, true)]) {
         let (worker, _discovery, mut node) = one_worker();
         let pings = words(&["PING"]).repeat(127);
-        let (mut clients, mut lines) =
-            eight_out(&worker, &node, || [&ask(8000)[..], &pings, &ask(8000)].concat());
+        let (mut clients, mut lines) = eight_out(&worker, &node, || {
+            [&ask(8000)[..], &pings, &ask(8000)].concat()
+        });
         let spare = rested(&worker, &node);
         if ending {
             closes(&node);
@@ -539,14 +616,20 @@
         lines.iter_mut().for_each(|line| line.serve("first"));
         node.leave(how, &mut waits);
         node.resume();
-        out.iter_mut().for_each(|client| assert_eq!(client.answer(), "first"));
+        out.iter_mut()
+            .for_each(|client| assert_eq!(client.answer(), "first"));
         taken_in(&node);
         lines.push(spare);
         let mut lines = only_the_next_goes_out(&worker, &node, lines, &format!("{how:?}"));
         let _more = clients(PLACES);
         until("all places are free and taken again", || {
             lines.extend(worker.came.try_iter().map(Line::of));
-            lines.iter_mut().map(Line::speaks).filter(|speaks| *speaks).count() == PLACES
+            lines
+                .iter_mut()
+                .map(Line::speaks)
+                .filter(|speaks| *speaks)
+                .count()
+                == PLACES
         });
     }
 }
@@ -558,7 +641,9 @@
         let (worker, node, own, peer) = one_of_two_aiming_at(600_000);
         let spare = rested(&worker, &node);
         let mut waits: Vec<Line> = (0..100).map(|_| node.client()).collect();
-        waits.iter_mut().for_each(|client| client.say(asks_the_peer(60_000)));
+        waits
+            .iter_mut()
+            .for_each(|client| client.say(asks_the_peer(60_000)));
         let granted = questions(&peer, waits.len());
         node.halt();
         for some in granted.chunks(4) {
--- a/tests/node/fakes.rs
+++ b/tests/node/fakes.rs
@@ -67,11 +67,16 @@
 
 /// A listener whose line is full: further connections stay pending until it accepts. With it goes who fills it.
 pub fn full() -> (TcpListener, TcpStream) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let socket =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("listening");
+    socket
+        .bind(&any.into())
+        .and_then(|()| socket.listen(0))
+        .expect("listening");
     let slow: TcpListener = socket.into();
-    let filler = TcpStream::connect(slow.local_addr().expect("bound")).expect("takes the only place");
+    let filler =
+        TcpStream::connect(slow.local_addr().expect("bound")).expect("takes the only place");
     (slow, filler)
 }
 
@@ -101,7 +106,11 @@
     let port = |address: &str| u16::from_str_radix(address.rsplit(':').next()?, 16).ok();
     let lines = table.lines().filter_map(|line| {
         let mut parts = line.split_whitespace().skip(1);
-        Some((port(parts.next()?)?, port(parts.next()?)?, parts.next()?.to_string()))
+        Some((
+            port(parts.next()?)?,
+            port(parts.next()?)?,
+            parts.next()?.to_string(),
+        ))
     });
     lines.collect()
 }
@@ -109,12 +118,16 @@
 /// Waits until so many connections to this address are being made that are not up yet.
 pub fn coming_up(at: SocketAddr, count: usize) {
     let pending = |(_, far, state): &&(u16, u16, String)| *far == at.port() && state == "02";
-    until("a connection is on its way", || connections().iter().filter(pending).count() >= count);
+    until("a connection is on its way", || {
+        connections().iter().filter(pending).count() >= count
+    });
 }
 
 /// A socket that was never connected.
 fn unconnected() -> TcpStream {
-    socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket").into()
+    socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
+        .expect("a socket")
+        .into()
 }
 
 /// Longer than a connection rests between two requests.
@@ -128,11 +141,16 @@
 impl Line {
     pub fn of(stream: TcpStream) -> Line {
         stream.set_read_timeout(Some(LONG)).expect("a socket");
-        Line { read: BufReader::new(stream) }
+        Line {
+            read: BufReader::new(stream),
+        }
     }
 
     pub fn say(&mut self, text: impl AsRef<[u8]>) {
-        self.read.get_mut().write_all(text.as_ref()).expect("written");
+        self.read
+            .get_mut()
+            .write_all(text.as_ref())
+            .expect("written");
     }
 
     pub fn line(&mut self) -> String {
@@ -144,19 +162,28 @@
     /// An answer: a line, or a bulk string's value.
     pub fn answer(&mut self) -> String {
         let head = self.line();
-        if head.starts_with('$') { self.line() } else { head }
+        if head.starts_with('$') {
+            self.line()
+        } else {
+            head
+        }
     }
 
     /// A command that came in, as words.
     pub fn command(&mut self) -> Vec<String> {
         let head = self.line();
-        let count: usize =
-            head.strip_prefix('*').and_then(|n| n.parse().ok()).unwrap_or_else(|| panic!("{head:?}"));
+        let count: usize = head
+            .strip_prefix('*')
+            .and_then(|n| n.parse().ok())
+            .unwrap_or_else(|| panic!("{head:?}"));
         (0..count).map(|_| self.answer()).collect()
     }
 
     pub fn serve(&mut self, value: &str) {
-        self.say(format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$17\r\nutil=0.61,qps=9.5\r\n", value.len()));
+        self.say(format!(
+            "*3\r\n${}\r\n{value}\r\n$-1\r\n$17\r\nutil=0.61,qps=9.5\r\n",
+            value.len()
+        ));
     }
 
     /// Whether something has come that is not read yet.
@@ -178,7 +205,9 @@
 
 pub fn words(parts: &[&str]) -> Vec<u8> {
     let mut out = format!("*{}\r\n", parts.len());
-    parts.iter().for_each(|p| out.push_str(&format!("${}\r\n{p}\r\n", p.len())));
+    parts
+        .iter()
+        .for_each(|p| out.push_str(&format!("${}\r\n{p}\r\n", p.len())));
     out.into_bytes()
 }
 
@@ -188,7 +217,10 @@
 /// A request with an id of its own.
 pub fn ask(wait: u32) -> Vec<u8> {
     static COUNT: AtomicU32 = AtomicU32::new(0);
-    ask_as(&format!("{:016x}", COUNT.fetch_add(1, Ordering::Relaxed)), wait)
+    ask_as(
+        &format!("{:016x}", COUNT.fetch_add(1, Ordering::Relaxed)),
+        wait,
+    )
 }
 
 pub fn ask_as(id: &str, wait: u32) -> Vec<u8> {
@@ -214,7 +246,10 @@
 }
 
 pub fn list(rev: u64, all: bool, targets: &[String]) -> String {
-    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(","))
+    format!(
+        r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#,
+        targets.join(",")
+    )
 }
 
 /// Discovery: gives the list, and hands each watch that is opened to the test.
@@ -247,7 +282,10 @@
                             let _ = tell.send(line.read.into_inner());
                             return;
                         }
-                        line.say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+                        line.say(format!(
+                            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}",
+                            list.len()
+                        ));
                     }
                 });
             }
@@ -328,7 +366,12 @@
 
 pub fn start(config: &str, shell: &str) -> Node {
     let mut node = spawn(config, shell);
-    node.at = node.says(" serves at ").rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+    node.at = node
+        .says(" serves at ")
+        .rsplit(' ')
+        .next()
+        .and_then(|a| a.parse().ok())
+        .expect("an address");
     node
 }
 
@@ -337,7 +380,10 @@
     let path = write_config(config);
     let mut child = Command::new("/bin/sh")
         .arg("-c")
-        .arg(format!("{shell} {}", env!("CARGO_BIN_EXE_frostvale")))
+        .arg(format!(
+            "{shell} {}",
+            env!("CARGO_BIN_EXE_marlshelf-gateway")
+        ))
         .env("GW_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
@@ -352,13 +398,19 @@
             let _ = tell.send(line);
         }
     });
-    Node { child, at: "127.0.0.1:0".parse().expect("an address"), log, lines, config: path }
+    Node {
+        child,
+        at: "127.0.0.1:0".parse().expect("an address"),
+        log,
+        lines,
+        config: path,
+    }
 }
 
 pub fn write_config(text: &str) -> PathBuf {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let number = COUNT.fetch_add(1, Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("frostvale-{}-{number}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("marlshelf-{}-{number}.json", std::process::id()));
     std::fs::write(&path, text).expect("written");
     path
 }
@@ -380,7 +432,9 @@
     }
 
     pub fn signal(&self, which: &str) {
-        let sent = Command::new("kill").args([which, &self.child.id().to_string()]).status();
+        let sent = Command::new("kill")
+            .args([which, &self.child.id().to_string()])
+            .status();
         assert!(sent.expect("kill runs").success());
     }
 
@@ -391,7 +445,9 @@
         until("it is stopped", || {
             let stat = std::fs::read_to_string(&stat).expect("it runs");
             // Its state follows its name, which stands in brackets.
-            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+            stat.rsplit(')')
+                .next()
+                .is_some_and(|rest| rest.trim_start().starts_with('T'))
         });
     }
 
@@ -401,12 +457,16 @@
 
     /// Has these clients go, and waits until the kernel has told this machine's end of each.
     pub fn leave(&self, how: Way, clients: &mut [Line]) {
-        let ports = clients.iter().map(|c| c.read.get_ref().local_addr().expect("bound").port());
+        let ports = clients
+            .iter()
+            .map(|c| c.read.get_ref().local_addr().expect("bound").port());
         let ports: Vec<u16> = ports.collect();
         for client in clients {
             let stream = client.read.get_ref();
             if how == Way::Reset {
-                socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("open");
+                socket2::SockRef::from(stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .expect("open");
             }
             match how {
                 Way::Half => stream.shutdown(Shutdown::Write).expect("open"),
@@ -417,7 +477,9 @@
         let here = |(near, far, state): &(u16, u16, String)| {
             *near == self.at.port() && state == "01" && ports.contains(far)
         };
-        until("all are seen to have left", || !connections().iter().any(here));
+        until("all are seen to have left", || {
+            !connections().iter().any(here)
+        });
     }
 
     /// Gives it another configuration and has it read.
@@ -450,7 +512,9 @@
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
     let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
     peer.set_read_timeout(Some(LONG)).expect("a socket");
-    let own = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port");
+    let own = UdpSocket::bind("127.0.0.1:0")
+        .and_then(|s| s.local_addr())
+        .expect("a port");
     let config = format!(
         r#"{{"listen":"127.0.0.1:0","discovery":"{}","seed":"1","peer_listen":"{own}","peers":["{own}","{}"],
         "settings":{{"Balancers":2,"Me":0,"Areas":["a"],"Kinds":["m"],"Bounds":{{"Peers":true,"TryLimit":3}},
--- a/tests/node/limits.rs
+++ b/tests/node/limits.rs
@@ -52,7 +52,12 @@
     fn gather(at: SocketAddr, kinds: &[Idle], count: usize) -> Crowd {
         let (over, kinds) = (Arc::new(AtomicBool::new(false)), kinds.to_vec());
         let ends = over.clone();
-        let mut all: Vec<TcpStream> = kinds.iter().cycle().take(count).map(|kind| kind.sit(at)).collect();
+        let mut all: Vec<TcpStream> = kinds
+            .iter()
+            .cycle()
+            .take(count)
+            .map(|kind| kind.sit(at))
+            .collect();
         let task = thread::spawn(move || {
             let mut kinds = kinds.iter().cycle();
             while !ends.load(Ordering::Relaxed) {
@@ -65,7 +70,10 @@
                 thread::sleep(Duration::from_millis(10));
             }
         });
-        Crowd { over, task: Some(task) }
+        Crowd {
+            over,
+            task: Some(task),
+        }
     }
 }
 
@@ -75,7 +83,10 @@
         // In a test that fails it may wait to be let in for long.
         if !thread::panicking() {
             let joined = self.task.take().map(JoinHandle::join);
-            assert!(joined.is_none_or(|end| end.is_ok()), "the crowd came to grief");
+            assert!(
+                joined.is_none_or(|end| end.is_ok()),
+                "the crowd came to grief"
+            );
         }
     }
 }
@@ -103,11 +114,17 @@
 
 /// How many descriptors the process holds.
 fn descriptors(node: &Node) -> usize {
-    std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).expect("it lives").count()
+    std::fs::read_dir(format!("/proc/{}/fd", node.child.id()))
+        .expect("it lives")
+        .count()
 }
 
 fn ran_out(node: &Node) -> bool {
-    node.log.lock().expect("whole").iter().any(|line| line.contains("cannot accept"))
+    node.log
+        .lock()
+        .expect("whole")
+        .iter()
+        .any(|line| line.contains("cannot accept"))
 }
 
 /// Asks, and once more on a new connection where one was shut unread. Gives the worker's end too.
@@ -120,7 +137,11 @@
         let _ = client.read.get_mut().write_all(&ask(8000));
         while !shut(&mut client.read.get_ref().try_clone().expect("a socket")) {
             if let Ok(stream) = worker.came.recv_timeout(Duration::from_millis(1)) {
-                client.read.get_ref().set_nonblocking(false).expect("a socket");
+                client
+                    .read
+                    .get_ref()
+                    .set_nonblocking(false)
+                    .expect("a socket");
                 let mut line = Line::of(stream);
                 line.command();
                 return (client, line);
@@ -142,16 +163,27 @@
 fn watch_and_workers_at_the_limit(kinds: &[Idle], sockets: u32, away: Away) {
     let (old, new) = (Door::open(), Door::open());
     // Its port is held all the time, so that nobody else takes it.
-    let place = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let place =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     place.bind(&any.into()).expect("a port");
     if let Away::Hangs = away {
         place.listen(1024).expect("listening");
     }
-    let at = place.local_addr().ok().and_then(|at| at.as_socket()).expect("bound");
+    let at = place
+        .local_addr()
+        .ok()
+        .and_then(|at| at.as_socket())
+        .expect("bound");
     let known = list(41, true, &[target("s-1", old.at, "ready", 0)]);
     let shell = format!("ulimit -n {sockets}; exec");
-    let node = Setup { known, sockets, shell, ..Setup::new(at) }.start();
+    let node = Setup {
+        known,
+        sockets,
+        shell,
+        ..Setup::new(at)
+    }
+    .start();
     let most = sockets as usize * CLIENT_PART / 100;
     // Far more than the clients' part: as many as would fill all there is.
     let _crowd = Crowd::gather(node.at, kinds, sockets as usize);
@@ -166,10 +198,19 @@
     }
     let back = Discovery::over(TcpListener::from(place), list(42, true, &[]));
     // Calls of the time before may lie there, given up long ago: every watch is told.
-    let change =
-        list(43, false, &[r#"{"uid":"s-1","state":"gone"}"#.into(), target("s-2", new.at, "ready", 0)]);
+    let change = list(
+        43,
+        false,
+        &[
+            r#"{"uid":"s-1","state":"gone"}"#.into(),
+            target("s-2", new.at, "ready", 0),
+        ],
+    );
     let chunk = format!("{:x}\r\n{change}\n\r\n", change.len() + 1);
-    let (told, told_of) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let (told, told_of) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicBool::new(false)),
+    );
     let (stop, count) = (told.clone(), told_of.clone());
     let teller = thread::spawn(move || {
         let mut watches = Vec::new();
@@ -182,7 +223,10 @@
         }
     });
     until("the watch is opened", || told_of.load(Ordering::Relaxed));
-    assert!(line.ended(), "what rests to a worker that has gone is closed");
+    assert!(
+        line.ended(),
+        "what rests to a worker that has gone is closed"
+    );
     for (resting, value) in [(None, "a newcomer"), (Some(client), "who has rested")] {
         let (mut client, mut line) = ask_until_begun(&node, resting, &new);
         line.serve(value);
@@ -190,7 +234,9 @@
         // So that each of them needs a connection of its own.
         drop(line);
     }
-    until("the clients' part is full once more", || descriptors(&node) >= most);
+    until("the clients' part is full once more", || {
+        descriptors(&node) >= most
+    });
     assert!(!ran_out(&node), "{:?}", node.log);
     told.store(true, Ordering::Relaxed);
     teller.join().expect("it tells");
@@ -224,8 +270,11 @@
 fn clients_and_workers_at_their_caps_fit_the_limit_with_a_margin_and_who_has_asked_is_answered() {
     const SOCKETS: usize = 256;
     let workers: Vec<Door> = (0..60).map(|_| Door::open()).collect();
-    let targets: Vec<String> =
-        workers.iter().enumerate().map(|(k, w)| target(&format!("s-{k}"), w.at, "ready", 0)).collect();
+    let targets: Vec<String> = workers
+        .iter()
+        .enumerate()
+        .map(|(k, w)| target(&format!("s-{k}"), w.at, "ready", 0))
+        .collect();
     let discovery = Discovery::with(list(1, true, &targets));
     let setup = Setup {
         sockets: SOCKETS as u32,
@@ -234,13 +283,17 @@
         bounds: r#""ConnectTimeout":5000.0,"ConnIdle":600000.0,"Peers":true"#,
         ..Setup::new(discovery.at)
     };
-    let config = setup.config().replace(r#""peer_listen":"""#, r#""peer_listen":"127.0.0.1:0""#);
+    let config = setup
+        .config()
+        .replace(r#""peer_listen":"""#, r#""peer_listen":"127.0.0.1:0""#);
     let node = start(&config, &setup.shell);
     let mut watch = discovery.watch();
     // The last one comes on its own: with it the table is full, and who has not asked yet would make room.
     let most = SOCKETS * CLIENT_PART / 100;
     let mut clients: Vec<Line> = (1..most).map(|_| node.client()).collect();
-    clients.iter_mut().for_each(|client| client.say([ask(9000), ask(9000)].concat()));
+    clients
+        .iter_mut()
+        .for_each(|client| client.say([ask(9000), ask(9000)].concat()));
     let mut out = Vec::new();
     let floor = SOCKETS * WORKER_PART / 100;
     until("the workers' part is full", || {
@@ -251,7 +304,9 @@
     let mut last = node.client();
     last.say(ask(9000));
     node.signal("-CONT");
-    until("the clients' part is full", || descriptors(&node) >= most + floor);
+    until("the clients' part is full", || {
+        descriptors(&node) >= most + floor
+    });
 
     // Newcomers find no place that could be made, a new watch and the configuration do.
     let _crowd = Crowd::gather(node.at, &EVERY, most);
@@ -261,7 +316,10 @@
     node.says("configuration read again");
     let _watch = discovery.watch();
     let held = descriptors(&node);
-    assert!(held >= most + floor && held + SOCKETS * SPARE_PART / 100 <= SOCKETS, "{held} of {SOCKETS}");
+    assert!(
+        held >= most + floor && held + SOCKETS * SPARE_PART / 100 <= SOCKETS,
+        "{held} of {SOCKETS}"
+    );
 
     // Every request that has reached a worker gets that worker's answer, on its client's connection.
     assert_eq!(out.len(), floor);
--- a/tests/node/ready.rs
+++ b/tests/node/ready.rs
@@ -7,14 +7,23 @@
 
 /// Waits until it serves, and is answered. Its former life may hold its port before: by the log it is itself.
 fn ready(node: &mut Node) {
-    node.at = node.says(" serves at ").rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+    node.at = node
+        .says(" serves at ")
+        .rsplit(' ')
+        .next()
+        .and_then(|a| a.parse().ok())
+        .expect("an address");
     let mut client = node.client();
     client.say(words(&["PING"]));
     assert_eq!(client.answer(), "+PONG");
 }
 
 fn serves(node: &Node) -> bool {
-    node.log.lock().expect("whole").iter().any(|line| line.contains(" serves at "))
+    node.log
+        .lock()
+        .expect("whole")
+        .iter()
+        .any(|line| line.contains(" serves at "))
 }
 
 /// The same configuration, to listen here.
@@ -29,15 +38,25 @@
         bounds: r#""ConnectTimeout":5000.0,"ConnIdle":600000.0,"Peers":true"#,
         ..Setup::new(discovery)
     };
-    setup.config().replace(r#""peer_listen":"""#, &format!(r#""peer_listen":"{at}""#))
+    setup
+        .config()
+        .replace(r#""peer_listen":"""#, &format!(r#""peer_listen":"{at}""#))
 }
 
 /// An address where connections are refused for as long as what comes with it is kept.
 fn nobody_listens() -> (SocketAddr, socket2::Socket) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let socket =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     socket.bind(&any.into()).expect("a port");
-    (socket.local_addr().ok().and_then(|at| at.as_socket()).expect("bound"), socket)
+    (
+        socket
+            .local_addr()
+            .ok()
+            .and_then(|at| at.as_socket())
+            .expect("bound"),
+        socket,
+    )
 }
 
 /// An address of this test's own: what it leaves is not given to another that asks for any port.
@@ -61,7 +80,10 @@
     assert!(first.line().starts_with("GET /v1/servers "));
     let targets = list(1, true, &[target("s-1", worker.at, "ready", 0)]);
     let mut call = slow.asked();
-    call.say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{targets}", targets.len()));
+    call.say(format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{targets}",
+        targets.len()
+    ));
     let _watch = slow.asked();
     let mut client = node.client();
     client.say(ask(8000));
@@ -78,7 +100,10 @@
     let mut call = slow.next();
     call.say("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{\"rev\":1,");
     ready(&mut node);
-    ready(&mut spawn(&Setup::new(pending.local_addr().expect("bound")).config(), "exec"));
+    ready(&mut spawn(
+        &Setup::new(pending.local_addr().expect("bound")).config(),
+        "exec",
+    ));
 }
 
 #[test]
@@ -86,8 +111,12 @@
     let (nowhere, _socket) = nobody_listens();
     let silent = Door::open();
     let setups = [Setup::new(nowhere), Setup::new(silent.at)];
-    let mut nodes: Vec<Node> =
-        setups.iter().cycle().take(20).map(|setup| spawn(&setup.config(), "exec")).collect();
+    let mut nodes: Vec<Node> = setups
+        .iter()
+        .cycle()
+        .take(20)
+        .map(|setup| spawn(&setup.config(), "exec"))
+        .collect();
     nodes.iter_mut().for_each(ready);
 }
 
@@ -101,9 +130,18 @@
             let at = SocketAddr::from(([127, 9, (k >> 8) as u8, k as u8], 6379));
             target(&format!("s-{k}"), at, "draining", 0)
         });
-        let targets: Vec<String> = elsewhere.chain([target("s-here", worker.at, "ready", 0)]).collect();
+        let targets: Vec<String> = elsewhere
+            .chain([target("s-here", worker.at, "ready", 0)])
+            .collect();
         let known = list(41, true, &targets);
-        let mut node = spawn(&Setup { known, ..Setup::new(nowhere) }.config(), "exec");
+        let mut node = spawn(
+            &Setup {
+                known,
+                ..Setup::new(nowhere)
+            }
+            .config(),
+            "exec",
+        );
         ready(&mut node);
         let mut client = node.client();
         client.say(ask(8000));
@@ -124,7 +162,14 @@
         })
         .collect();
     let known = list(41, true, &targets);
-    ready(&mut spawn(&Setup { known, ..Setup::new(nowhere) }.config(), "exec"));
+    ready(&mut spawn(
+        &Setup {
+            known,
+            ..Setup::new(nowhere)
+        }
+        .config(),
+        "exec",
+    ));
 }
 
 #[test]
@@ -133,13 +178,30 @@
     let odd = [
         "7".into(),
         r#"{"rev":-1,"all":true,"targets":[]}"#.into(),
-        r#"{"rev":1,"all":true,"targets":[{"uid":"s-1","state":"ready","endpoint":"nowhere"},7]}"#.into(),
+        r#"{"rev":1,"all":true,"targets":[{"uid":"s-1","state":"ready","endpoint":"nowhere"},7]}"#
+            .into(),
         list(1, true, &[]),
-        list(1, true, &[target("s-1", nowhere, "ready", 0), target("s-1", nowhere, "gone", 0)]),
+        list(
+            1,
+            true,
+            &[
+                target("s-1", nowhere, "ready", 0),
+                target("s-1", nowhere, "gone", 0),
+            ],
+        ),
     ];
     let mut nodes: Vec<Node> = odd
         .into_iter()
-        .map(|known| spawn(&Setup { known, ..Setup::new(nowhere) }.config(), "exec"))
+        .map(|known| {
+            spawn(
+                &Setup {
+                    known,
+                    ..Setup::new(nowhere)
+                }
+                .config(),
+                "exec",
+            )
+        })
         .collect();
     nodes.iter_mut().for_each(ready);
 }
@@ -245,7 +307,10 @@
         busy.say(ask(8000));
         let mut out = worker.next();
         out.command();
-        half.read.get_mut().write_all(b"*2\r\n$4\r\nPI").expect("written");
+        half.read
+            .get_mut()
+            .write_all(b"*2\r\n$4\r\nPI")
+            .expect("written");
         former.signal("-KILL");
         // Not waited for: it may not be quite gone.
         let mut node = spawn(&config, "exec");
--- a/tests/node/serving.rs
+++ b/tests/node/serving.rs
@@ -20,7 +20,10 @@
     );
     let (head, rest) = command[3].split_once(",d=").expect("d");
     let (d, tail) = rest.split_once(',').expect("more fields");
-    assert_eq!((head, tail), ("c=order,t=p", "k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0"));
+    assert_eq!(
+        (head, tail),
+        ("c=order,t=p", "k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0")
+    );
     let d: u32 = d.parse().expect("a number");
     assert!((1..3000).contains(&d), "{d}");
     line.serve("mixed");
@@ -38,7 +41,10 @@
     second.command();
     second.serve("x");
     first.serve("x");
-    assert_eq!([client.answer(), client.answer(), client.answer()], ["x", "+PONG", "x"]);
+    assert_eq!(
+        [client.answer(), client.answer(), client.answer()],
+        ["x", "+PONG", "x"]
+    );
 }
 
 #[test]
@@ -71,19 +77,30 @@
     thread::sleep(RESTED);
     client.say(ask(300));
     late.command();
-    assert!(client.answer().starts_with("-BUSY"), "a read is harmless to try again");
+    assert!(
+        client.answer().starts_with("-BUSY"),
+        "a read is harmless to try again"
+    );
     assert!(late.ended(), "giving up closes the connection");
     client.say(ask(5000));
     let mut line = worker.next();
     line.command();
-    let _ = late.read.get_mut().write_all(b"*3\r\n$3\r\nold\r\n$-1\r\n$-1\r\n");
+    let _ = late
+        .read
+        .get_mut()
+        .write_all(b"*3\r\n$3\r\nold\r\n$-1\r\n$-1\r\n");
     line.serve("new");
     assert_eq!(client.answer(), "new");
 }
 
 #[test]
 fn a_spoilt_answer_costs_its_attempt_only() {
-    for spoilt in ["+what\r\n", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "*3\r\n$999999\r\n", "*3\r\n$1\r\nabc"] {
+    for spoilt in [
+        "+what\r\n",
+        "*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+        "*3\r\n$999999\r\n",
+        "*3\r\n$1\r\nabc",
+    ] {
         let (worker, _discovery, node) = one_worker();
         let mut client = node.client();
         client.say(order("pay", 5000));
@@ -147,15 +164,23 @@
 fn let_through(used: &'static str) -> usize {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let (usual, small) =
-        (r#""UnitsPerS":1000.0,"PeakUnits":1000.0"#, r#""UnitsPerS":0.001,"PeakUnits":10.0"#);
-    let node = start(&Setup::new(discovery.at).config().replace(usual, small), "exec");
+    let (usual, small) = (
+        r#""UnitsPerS":1000.0,"PeakUnits":1000.0"#,
+        r#""UnitsPerS":0.001,"PeakUnits":10.0"#,
+    );
+    let node = start(
+        &Setup::new(discovery.at).config().replace(usual, small),
+        "exec",
+    );
     thread::spawn(move || {
         for mut line in worker.came.iter().map(Line::of) {
             thread::spawn(move || {
                 while line.read.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
                     line.command();
-                    line.say(format!("*3\r\n$1\r\nx\r\n${}\r\n{used}\r\n$-1\r\n", used.len()));
+                    line.say(format!(
+                        "*3\r\n$1\r\nx\r\n${}\r\n{used}\r\n$-1\r\n",
+                        used.len()
+                    ));
                 }
             });
         }
@@ -170,17 +195,33 @@
 
 #[test]
 fn the_true_units_of_an_answer_count_against_the_quota() {
-    assert_eq!(let_through("used=37,cost=4"), 3, "twelve of ten units are used");
-    for unusable in
-        ["used=37", "cost=", "cost=-4", "cost=NaN", "cost=inf", "cost=400", "cost=4=4", "\u{1F600}"]
-    {
+    assert_eq!(
+        let_through("used=37,cost=4"),
+        3,
+        "twelve of ten units are used"
+    );
+    for unusable in [
+        "used=37",
+        "cost=",
+        "cost=-4",
+        "cost=NaN",
+        "cost=inf",
+        "cost=400",
+        "cost=4=4",
+        "\u{1F600}",
+    ] {
         assert_eq!(let_through(unusable), 10, "{unusable}: the guess stands");
     }
 }
 
 #[test]
 fn a_good_value_is_served_whatever_comes_with_it() {
-    for odd in [":7\r\n$-1\r\n", "$-1\r\n+util\r\n", "$-1\r\n$99999999\r\n", "$1\r\nabc"] {
+    for odd in [
+        ":7\r\n$-1\r\n",
+        "$-1\r\n+util\r\n",
+        "$-1\r\n$99999999\r\n",
+        "$1\r\nabc",
+    ] {
         let (worker, _discovery, node) = one_worker();
         let mut client = node.client();
         client.say(order("pay", 5000));
@@ -225,7 +266,10 @@
     // A second copy that comes now must meet no request.
     let copy = b"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n";
     let Some(mut other) = worker.within(&mut line, LONG) else {
-        assert!(answered.elapsed() >= Duration::from_millis(5), "used again at once");
+        assert!(
+            answered.elapsed() >= Duration::from_millis(5),
+            "used again at once"
+        );
         return;
     };
     let _ = line.read.get_mut().write_all(copy);
@@ -238,7 +282,11 @@
 fn pooled_connections_are_closed_well_before_the_workers_limit() {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let node = Setup { bounds: r#""ConnIdle":1000.0"#, ..Setup::new(discovery.at) }.start();
+    let node = Setup {
+        bounds: r#""ConnIdle":1000.0"#,
+        ..Setup::new(discovery.at)
+    }
+    .start();
     let mut client = node.client();
     client.say(ask(5000));
     let mut line = worker.next();
@@ -253,13 +301,19 @@
 /// The time that an attempt tells its worker, in ms.
 fn told(command: &[String]) -> u64 {
     let (_, tail) = command[3].split_once(",d=").expect("d");
-    tail.split(',').next().and_then(|d| d.parse().ok()).expect("a number")
+    tail.split(',')
+        .next()
+        .and_then(|d| d.parse().ok())
+        .expect("a number")
 }
 
 #[test]
 fn a_further_attempt_tells_its_worker_what_is_left_to_the_client() {
     let (one, two) = (Door::open(), Door::open());
-    let both = [target("s-1", one.at, "ready", 0), target("s-2", two.at, "ready", 0)];
+    let both = [
+        target("s-1", one.at, "ready", 0),
+        target("s-2", two.at, "ready", 0),
+    ];
     let discovery = Discovery::with(list(1, true, &both));
     let node = Setup::new(discovery.at).start();
     let mut client = node.client();
@@ -280,7 +334,10 @@
         }
     };
     let second = told(&again.command());
-    assert!(first <= 5000 && second + passed <= 5000, "{first} ms, and {second} ms after {passed}");
+    assert!(
+        first <= 5000 && second + passed <= 5000,
+        "{first} ms, and {second} ms after {passed}"
+    );
     again.serve("in time");
     assert_eq!(client.answer(), "in time");
 }
--- a/tests/node/shutdown.rs
+++ b/tests/node/shutdown.rs
@@ -37,9 +37,15 @@
 
 /// Asks a keeper for a unit of a customer's store; gives the answer.
 fn question(peer: &UdpSocket, own: SocketAddr, number: u32) -> String {
-    peer.send_to(format!("a,aa,0,{number:x},1.0,0.0,1.0,500;").as_bytes(), own).expect("sent");
+    peer.send_to(
+        format!("a,aa,0,{number:x},1.0,0.0,1.0,500;").as_bytes(),
+        own,
+    )
+    .expect("sent");
     let mut bytes = [0; 512];
-    let (len, from) = peer.recv_from(&mut bytes).expect("the peer's question is answered");
+    let (len, from) = peer
+        .recv_from(&mut bytes)
+        .expect("the peer's question is answered");
     assert!(from == own && len <= 256);
     String::from_utf8_lossy(&bytes[..len]).into_owned()
 }
@@ -50,12 +56,18 @@
     let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
     peer.send_to(&[b'a'; 300], own).expect("sent");
     peer.send_to(&[0xff; 10], own).expect("sent");
-    peer.send_to(b"a,1,99999,zz;g,1,7,1,-1,0,0,0;t,,;;,,,", own).expect("sent");
-    stranger.send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own).expect("sent");
+    peer.send_to(b"a,1,99999,zz;g,1,7,1,-1,0,0,0;t,,;;,,,", own)
+        .expect("sent");
+    stranger
+        .send_to(b"a,aa,0,1,1.0,0.0,1.0,500;", own)
+        .expect("sent");
     let answer = question(&peer, own, 1);
     assert!(answer.starts_with("g,aa,1,1,"), "{answer}");
     stranger.set_nonblocking(true).expect("a socket");
-    assert!(stranger.recv_from(&mut [0; 512]).is_err(), "a stranger is not");
+    assert!(
+        stranger.recv_from(&mut [0; 512]).is_err(),
+        "a stranger is not"
+    );
 }
 
 #[test]
@@ -77,7 +89,11 @@
 fn whom_the_kernel_has_let_in_is_answered_also_where_there_was_no_room() {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let mut node = Setup { sockets: 64, ..Setup::new(discovery.at) }.start();
+    let mut node = Setup {
+        sockets: 64,
+        ..Setup::new(discovery.at)
+    }
+    .start();
     // As many as have room, each with a request in hand, so that none of them can make any.
     let mut busy: Vec<(Line, Line)> = Vec::new();
     for k in 0..21 {
@@ -107,7 +123,9 @@
 fn what_outlasts_the_kill_that_may_follow_is_answered_before_it() {
     let worker = Door::open();
     let discovery = Discovery::with(list(1, true, &[target("s-1", worker.at, "ready", 0)]));
-    let config = Setup::new(discovery.at).config().replace(r#""Deadline":9000.0"#, r#""Deadline":60000.0"#);
+    let config = Setup::new(discovery.at)
+        .config()
+        .replace(r#""Deadline":9000.0"#, r#""Deadline":60000.0"#);
     let mut node = start(&config, "exec");
     let (mut busy, mut other, mut idle) = (node.client(), node.client(), node.client());
     busy.say(ask(60_000));
@@ -127,7 +145,11 @@
     let mut again = worker.within(&mut out, LONG).unwrap_or(out);
     let command = again.command();
     let (_, wait) = command[3].split_once(",d=").expect("d");
-    let wait: u32 = wait.split(',').next().and_then(|d| d.parse().ok()).expect("a number");
+    let wait: u32 = wait
+        .split(',')
+        .next()
+        .and_then(|d| d.parse().ok())
+        .expect("a number");
     assert!(wait < 3700, "its worker is told so: {wait}");
     assert!(busy.answer().starts_with("-"), "far ahead of its own time");
     assert!(other.answer().starts_with("-"), "far ahead of its own time");
@@ -136,8 +158,13 @@
 
 #[test]
 fn sigterm_is_heard_while_the_first_list_is_awaited() {
-    let serves =
-        |node: &Node| node.log.lock().expect("whole").iter().any(|line| line.contains(" serves at "));
+    let serves = |node: &Node| {
+        node.log
+            .lock()
+            .expect("whole")
+            .iter()
+            .any(|line| line.contains(" serves at "))
+    };
     // One that was so slow to ask that it has done with waiting by now is no case of it.
     let mut node = (0..100)
         .map(|_| {
@@ -152,5 +179,9 @@
     node.signal("-TERM");
     node.says(" stops");
     assert!(node.exit().success());
-    assert!(!serves(&node), "it waits for the list first: {:?}", node.log);
+    assert!(
+        !serves(&node),
+        "it waits for the list first: {:?}",
+        node.log
+    );
 }
