--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,8 +66,13 @@
 mod state;
 
 pub use control::DecisionEngine;
-pub use events::*;
-pub use settings::*;
+pub use events::{
+    Action, AttemptOutcome, AttemptResult, Endpoint, EndpointListKind, EndpointName, EndpointState,
+    Event, GatewayId, LoadReport, Request, RequestId, TenantName, TimerToken,
+};
+pub use settings::{
+    DeduplicationScope, Idempotency, Plan, RequestClass, Settings, SettingsError, SettingsSection,
+};
 pub use settings_document::{
     ClassDocument, DiscoveryMode, IdempotencyDocument, LimitsDocument, PlanDocument, RulesDocument,
     SettingsDocument,
--- a/src/settings_document.rs
+++ b/src/settings_document.rs
@@ -1,124 +1,139 @@
-//! The settings as the simulator and the deployment write them: names and units are theirs, and keys that
-//! are not known are skipped. Read once, for both programs.
+//! The settings as they are serialized.
+//!
+//! The deployment (the `settings` object of the file that `GW_CONFIG` names) and the simulator (the `Conf` object of an
+//! instance's first message) write the same JSON object. Its keys and units are theirs and are translated here, once,
+//! into the terms of this library. Keys that are not known are skipped, so that a site can add some.
+//!
+//! Times are in milliseconds. Costs, bursts and slacks are in quota tokens, and rates in quota tokens per second.
 
-use crate::settings::*;
+use crate::settings::{DeduplicationScope, Idempotency, Plan, RequestClass, Settings};
 use serde::Deserialize;
 use std::time::Duration;
 
-/// The protocol page: SIGKILL comes after SIGTERM no sooner than the longest deadline, taken as the first of
-/// these where it is longer, and the second.
-const GRACE_WAIT_MS: f64 = 3000.0;
-const GRACE_MORE_MS: f64 = 700.0;
+/// How long a connection attempt may take where the settings do not say it.
+const DEFAULT_CONNECT_TIMEOUT_MS: f64 = 250.0;
 
-/// The object of settings that a gateway is given at its start.
+/// How long a connection may be idle where the settings do not say it.
+const DEFAULT_IDLE_CONNECTION_TIMEOUT_MS: f64 = 15_000.0;
+
+/// How many requests may be active at once where the settings do not say it.
+const DEFAULT_MAX_ACTIVE_REQUESTS: usize = 20_000;
+
+/// How long requests may go to an endpoint that is draining where the settings do not say it.
+const DEFAULT_DRAIN_GRACE_MS: f64 = 500.0;
+
+/// How long a gateway may go without polling discovery where the settings do not say it.
+const DEFAULT_MAX_POLL_INTERVAL_MS: f64 = 10_000.0;
+
+/// The platform sends SIGKILL after SIGTERM no sooner than after the longest deadline of any class, of which it counts
+/// no more than this, and [`TERMINATION_MARGIN_MS`].
+const MAX_TERMINATION_WAIT_MS: f64 = 3000.0;
+
+/// The time that the platform adds to the longest deadline before it sends SIGKILL.
+const TERMINATION_MARGIN_MS: f64 = 700.0;
+
+/// The JSON object of settings that a gateway gets at its start.
 #[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
 pub struct SettingsDocument {
     #[serde(rename = "Balancers")]
     gateway_count: u32,
-    #[serde(default)]
-    #[serde(rename = "Me")]
+    #[serde(rename = "Me", default)]
     gateway: u32,
-    #[serde(default)]
+    #[serde(rename = "Zone", default)]
     zone: u32,
-    /// Zone names, by number.
-    #[serde(default)]
-    #[serde(rename = "Areas")]
+    /// The names of the zones. Elsewhere a zone is the index of its name in this list.
+    #[serde(rename = "Areas", default)]
     pub zones: Vec<String>,
-    /// Names of the kinds of machine, by number.
-    #[serde(default)]
-    #[serde(rename = "Kinds")]
+    /// The names of the hardware models. Elsewhere a model is the index of its name in this list.
+    #[serde(rename = "Kinds", default)]
     pub hardware_kinds: Vec<String>,
-    /// The classes, by number.
+    /// The request classes. Elsewhere a class is its index in this list.
+    #[serde(rename = "Classes")]
     pub classes: Vec<ClassDocument>,
-    /// The plans, by number.
-    #[serde(default)]
+    /// The plans. Elsewhere a plan is its index in this list.
+    #[serde(rename = "Plans", default)]
     pub plans: Vec<PlanDocument>,
     /// What the site permits.
-    #[serde(default)]
-    #[serde(rename = "Bounds")]
+    #[serde(rename = "Bounds", default)]
     pub limits: LimitsDocument,
-    #[serde(default)]
-    #[serde(rename = "Domain")]
-    quotas: QuotaDocument,
-    /// How the list of servers is had.
-    #[serde(default)]
-    #[serde(rename = "Discovery")]
+    #[serde(rename = "Domain", default)]
+    service: ServiceDocument,
+    /// How gateways learn about changes of the endpoint list.
+    #[serde(rename = "Discovery", default)]
     pub discovery_mode: DiscoveryMode,
-    /// The figures of the rules.
-    #[serde(default)]
+    /// The parameters of the site's rules.
+    #[serde(rename = "Rules", default)]
     pub rules: RulesDocument,
 }
 
-/// How the list of servers is had.
+/// How gateways learn about changes of the endpoint list.
 #[derive(Debug, Deserialize, Clone, Copy, PartialEq, Eq, Default)]
-#[serde(rename_all = "lowercase")]
 pub enum DiscoveryMode {
-    /// Changes are sent to every gatekeeper's machine, asked for or not.
+    /// An agent on the gateway's machine has every change without being asked.
     #[default]
+    #[serde(rename = "automatic")]
     Automatic,
-    /// Each gatekeeper asks a service that all of them share.
+    /// Each gateway polls or watches a service that all gateways share.
+    #[serde(rename = "subscribe")]
     Subscribe,
 }
 
 /// A class of requests.
 #[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
 pub struct ClassDocument {
-    /// Its name.
-    #[serde(default)]
+    /// The name of the class.
+    #[serde(rename = "Name", default)]
     pub name: String,
-    #[serde(default)]
-    #[serde(rename = "Worth")]
+    #[serde(rename = "Worth", default)]
     priority_weight: f64,
     #[serde(rename = "Target")]
     latency_objective_ms: f64,
-    /// No client of this class waits longer, in milliseconds; 0 where nothing is said.
-    #[serde(default)]
-    #[serde(rename = "Deadline")]
+    /// The longest time that a client of this class waits, in milliseconds; 0 means that it is not stated.
+    #[serde(rename = "Deadline", default)]
     pub deadline_ms: f64,
-    #[serde(default)]
-    #[serde(rename = "LateWorth")]
+    #[serde(rename = "LateWorth", default)]
     late_answer_weight: f64,
-    /// Whether it may be repeated.
+    /// Whether requests of this class may be executed more than once.
     #[serde(rename = "Effect")]
     pub idempotency: IdempotencyDocument,
-    #[serde(default)]
-    #[serde(rename = "Group")]
+    #[serde(rename = "Group", default)]
     deduplication_scope: Option<DeduplicationScopeDocument>,
-    #[serde(default)]
-    #[serde(rename = "Window")]
+    #[serde(rename = "Window", default)]
     deduplication_window_ms: f64,
 }
 
-/// Whether a class may be repeated.
+/// Whether requests of a class may be executed more than once.
 #[derive(Debug, Deserialize, Clone, Copy, PartialEq, Eq)]
-#[serde(rename_all = "snake_case")]
 pub enum IdempotencyDocument {
-    /// At will.
+    /// They may be executed any number of times.
     #[serde(rename = "repeatable")]
     Idempotent,
-    /// Within a group that drops repeats.
+    /// They carry an idempotency key, by which the endpoints of one scope discard duplicates.
     #[serde(rename = "by_key")]
     Keyed,
-    /// Never once it may have run.
+    /// They may be executed only once.
     #[serde(rename = "once")]
     NonIdempotent,
 }
 
-#[derive(Debug, Deserialize, Clone, Copy)]
-#[serde(rename_all = "lowercase")]
+/// The endpoints that discard duplicates of each other's keyed requests.
+#[derive(Debug, Deserialize, Clone, Copy, Default)]
 enum DeduplicationScopeDocument {
+    #[default]
+    #[serde(rename = "all")]
     All,
+    #[serde(rename = "zone")]
     Zone,
+    #[serde(rename = "cell")]
     Cell,
 }
 
-/// A plan.
+/// A plan: the quota of each of its tenants.
 #[derive(Debug, Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
+#[serde(default)]
 pub struct PlanDocument {
-    /// Its name.
+    /// The name of the plan.
+    #[serde(rename = "Name")]
     pub name: String,
     #[serde(rename = "UnitsPerS")]
     refill_rate: f64,
@@ -138,21 +153,21 @@
     hard_limit_slack: f64,
 }
 
-/// What the site permits, times in milliseconds.
+/// What the site permits.
 #[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
+#[serde(default)]
 pub struct LimitsDocument {
     #[serde(rename = "Peers")]
     gossip_enabled: bool,
     #[serde(rename = "TryLimit")]
     max_attempts: u32,
-    /// A connection that is not up after this counts as unreachable.
+    /// A connection attempt fails if it takes longer than this, in milliseconds.
     #[serde(rename = "ConnectTimeout")]
     pub connect_timeout_ms: f64,
-    /// Idle connections are closed after this.
+    /// A connection is closed after it has been idle for this long, in milliseconds.
     #[serde(rename = "ConnIdle")]
     pub idle_connection_timeout_ms: f64,
-    /// The most requests open at once.
+    /// The greatest number of requests that a gateway may have active at once.
     #[serde(rename = "MaxOpen")]
     pub max_active_requests: usize,
 }
@@ -162,25 +177,26 @@
         LimitsDocument {
             gossip_enabled: false,
             max_attempts: 0,
-            connect_timeout_ms: 250.0,
-            idle_connection_timeout_ms: 15_000.0,
-            max_active_requests: 20_000,
+            connect_timeout_ms: DEFAULT_CONNECT_TIMEOUT_MS,
+            idle_connection_timeout_ms: DEFAULT_IDLE_CONNECTION_TIMEOUT_MS,
+            max_active_requests: DEFAULT_MAX_ACTIVE_REQUESTS,
         }
     }
 }
 
+/// Properties of the service that the gateways are in front of.
 #[derive(Debug, Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct QuotaDocument {
+#[serde(default)]
+struct ServiceDocument {
     #[serde(rename = "PeerIntake")]
     gossip_intake_per_second: f64,
     #[serde(rename = "Largest")]
     max_request_cost: f64,
 }
 
-/// The figures of the rules, times in milliseconds.
+/// The parameters of the site's rules.
 #[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
+#[serde(default)]
 pub struct RulesDocument {
     #[serde(rename = "ColdFrom")]
     initial_warmth: f64,
@@ -188,10 +204,12 @@
     warmup_ms: f64,
     #[serde(rename = "FallMultiple")]
     warmup_overload_multiple: f64,
-    /// Nothing new goes to a server this long after word came that it drains or is gone.
+    /// How long requests may still go to an endpoint after the gateway has learned that it is draining or removed, in
+    /// milliseconds.
     #[serde(rename = "DrainGrace")]
     pub drain_grace_ms: f64,
-    /// Who has not asked a shared discovery for this long counts as told what it had to tell.
+    /// A gateway that has not polled a shared discovery service for this long is treated as if it knew the list as it
+    /// was then, in milliseconds.
     #[serde(rename = "MustAskIn")]
     pub max_poll_interval_ms: f64,
 }
@@ -202,78 +220,100 @@
             initial_warmth: 0.0,
             warmup_ms: 0.0,
             warmup_overload_multiple: 0.0,
-            drain_grace_ms: 500.0,
-            max_poll_interval_ms: 10_000.0,
+            drain_grace_ms: DEFAULT_DRAIN_GRACE_MS,
+            max_poll_interval_ms: DEFAULT_MAX_POLL_INTERVAL_MS,
         }
     }
 }
 
 impl SettingsDocument {
-    /// How many gatekeepers there are.
+    /// The number of gateways in the fleet.
     #[must_use]
     pub fn gateway_count(&self) -> u32 {
         self.gateway_count
     }
 
-    /// How long a gatekeeper that is told to end has at the least before it is killed.
+    /// The least time between SIGTERM and SIGKILL.
     #[must_use]
     pub fn termination_grace(&self) -> Duration {
-        let longest = self
+        let longest_deadline_ms = self
             .classes
             .iter()
-            .map(|c| c.deadline_ms)
+            .map(|class| class.deadline_ms)
             .fold(0.0, f64::max);
-        let waits = if longest > 0.0 {
-            longest.min(GRACE_WAIT_MS)
+        let wait_ms = if longest_deadline_ms > 0.0 {
+            longest_deadline_ms.min(MAX_TERMINATION_WAIT_MS)
         } else {
-            GRACE_WAIT_MS
+            MAX_TERMINATION_WAIT_MS
         };
-        Duration::from_secs_f64((waits + GRACE_MORE_MS) / 1000.0)
+        Duration::from_secs_f64((wait_ms + TERMINATION_MARGIN_MS) / 1000.0)
     }
 
-    /// What the module needs of them.
+    /// The settings that the decisions depend on. They are not validated yet.
     #[must_use]
     pub fn settings(&self) -> Settings {
-        let class = |c: &ClassDocument| RequestClass {
-            priority_weight: c.priority_weight,
-            latency_objective_ms: c.latency_objective_ms,
-            late_answer_weight: c.late_answer_weight,
-            idempotency: match (c.idempotency, c.deduplication_scope) {
-                (IdempotencyDocument::Idempotent, _) => Idempotency::Idempotent,
-                (IdempotencyDocument::NonIdempotent, _) => Idempotency::NonIdempotent,
-                (IdempotencyDocument::Keyed, Some(DeduplicationScopeDocument::Zone)) => {
-                    Idempotency::Keyed(DeduplicationScope::Zone)
-                }
-                (IdempotencyDocument::Keyed, Some(DeduplicationScopeDocument::Cell)) => {
-                    Idempotency::Keyed(DeduplicationScope::Cell)
-                }
-                (IdempotencyDocument::Keyed, _) => Idempotency::Keyed(DeduplicationScope::All),
-            },
-            deduplication_window_ms: c.deduplication_window_ms,
-        };
-        let plan = |p: &PlanDocument| Plan {
-            refill_rate: p.refill_rate,
-            burst: p.burst,
-            max_concurrency: p.max_concurrency,
-            weight: p.weight,
-            over_quota_penalty: p.over_quota_penalty,
-            hard_limit_rate: p.hard_limit_rate,
-            hard_limit_burst: p.hard_limit_burst,
-            hard_limit_slack: p.hard_limit_slack,
-        };
         Settings {
             gateway: self.gateway,
             gateway_count: self.gateway_count,
             zone: self.zone,
-            classes: self.classes.iter().map(class).collect(),
-            plans: self.plans.iter().map(plan).collect(),
+            classes: self.classes.iter().map(RequestClass::from).collect(),
+            plans: self.plans.iter().map(Plan::from).collect(),
             max_attempts: self.limits.max_attempts,
             gossip_enabled: self.limits.gossip_enabled,
-            max_request_cost: self.quotas.max_request_cost,
-            gossip_intake_per_second: self.quotas.gossip_intake_per_second,
+            max_request_cost: self.service.max_request_cost,
+            gossip_intake_per_second: self.service.gossip_intake_per_second,
             initial_warmth: self.rules.initial_warmth,
             warmup_ms: self.rules.warmup_ms,
             warmup_overload_multiple: self.rules.warmup_overload_multiple,
         }
     }
 }
+
+impl From<&ClassDocument> for RequestClass {
+    fn from(class: &ClassDocument) -> RequestClass {
+        RequestClass {
+            priority_weight: class.priority_weight,
+            latency_objective_ms: class.latency_objective_ms,
+            late_answer_weight: class.late_answer_weight,
+            idempotency: class.idempotency(),
+            deduplication_window_ms: class.deduplication_window_ms,
+        }
+    }
+}
+
+impl ClassDocument {
+    fn idempotency(&self) -> Idempotency {
+        match self.idempotency {
+            IdempotencyDocument::Idempotent => Idempotency::Idempotent,
+            IdempotencyDocument::NonIdempotent => Idempotency::NonIdempotent,
+            IdempotencyDocument::Keyed => {
+                Idempotency::Keyed(self.deduplication_scope.unwrap_or_default().into())
+            }
+        }
+    }
+}
+
+impl From<DeduplicationScopeDocument> for DeduplicationScope {
+    fn from(scope: DeduplicationScopeDocument) -> DeduplicationScope {
+        match scope {
+            DeduplicationScopeDocument::All => DeduplicationScope::All,
+            DeduplicationScopeDocument::Zone => DeduplicationScope::Zone,
+            DeduplicationScopeDocument::Cell => DeduplicationScope::Cell,
+        }
+    }
+}
+
+impl From<&PlanDocument> for Plan {
+    fn from(plan: &PlanDocument) -> Plan {
+        Plan {
+            refill_rate: plan.refill_rate,
+            burst: plan.burst,
+            max_concurrency: plan.max_concurrency,
+            weight: plan.weight,
+            over_quota_penalty: plan.over_quota_penalty,
+            hard_limit_rate: plan.hard_limit_rate,
+            hard_limit_burst: plan.hard_limit_burst,
+            hard_limit_slack: plan.hard_limit_slack,
+        }
+    }
+}
--- /dev/null
+++ b/tests/settings/samples.rs
@@ -0,0 +1,187 @@
+//! Serialized settings in both of their forms, and the values that they stand for.
+
+use marlshelf::{DeduplicationScope, Idempotency, Plan, RequestClass, Settings, SettingsDocument};
+use serde_json::{Value, json};
+
+/// Settings with every key that the users' pages name, each with a value of its own, and with unknown keys at every
+/// level.
+pub const COMPLETE_SETTINGS: &str = r#"{
+    "Areas": ["north", "south", "west"],
+    "Balancers": 7,
+    "Blend": {"Whole": 0.5, "WorstClass": 0.1, "WorstTenant": 0.2, "WorstWindow": 0.2},
+    "Bounds": {
+        "Cancel": true, "ConnIdle": 21000.0, "ConnectTimeout": 310.0, "CpuUsPerRequest": 90.0,
+        "CpuUsPerS": 640000, "MaxOpen": 12345, "MaxRetryAfter": 1900.0, "Multiplex": 4, "Peers": true,
+        "Probing": true, "RetryAfter": true, "SecondCopies": true, "TryLimit": 5, "UnknownBound": [1, 2]
+    },
+    "Classes": [
+        {"AimStretch": 1.5, "Deadline": 2100.0, "Effect": "repeatable", "Group": "cell", "LateWorth": 0.25,
+         "Name": "read", "Stream": true, "Target": 410.5, "Window": 5100.0, "Worth": 2.5, "UnknownClassKey": {}},
+        {"Deadline": 2200.0, "Effect": "once", "Group": "zone", "LateWorth": 0.5, "Name": "write",
+         "Stream": false, "Target": 620.0, "Window": 5200.0, "Worth": 3.5},
+        {"Deadline": 2300.0, "Effect": "by_key", "Group": "all", "LateWorth": 0.0, "Name": "keyed-all",
+         "Stream": false, "Target": 630.0, "Window": 5300.0, "Worth": 4.5},
+        {"Deadline": 2400.0, "Effect": "by_key", "Group": "zone", "LateWorth": 0.125, "Name": "keyed-zone",
+         "Stream": false, "Target": 640.0, "Window": 5400.0, "Worth": 5.5},
+        {"Deadline": 2500.0, "Effect": "by_key", "Group": "cell", "LateWorth": 0.75, "Name": "keyed-cell",
+         "Stream": false, "Target": 650.0, "Window": 5500.0, "Worth": 6.5}
+    ],
+    "ClientHabits": {"MarksRetry": true},
+    "Discovery": "subscribe",
+    "Domain": {
+        "CallPrice": 0.1, "CountWait": 60.0, "Largest": 9, "MayCount": true, "PeerIntake": 55.0, "Settles": true,
+        "UsePeriod": 1000.0, "UnknownFact": "x"
+    },
+    "Family": "gate",
+    "Kinds": ["large", "small"],
+    "Layers": ["front", "back"],
+    "LoadReport": {"Columns": ["outstanding", "utilization"], "How": "answers"},
+    "Me": 6,
+    "Plans": [
+        {"CapDepth": 71.0, "CapRate": 31.0, "CeilingSlack": 8.0, "MaxOut": 3, "Name": "basic", "OverCost": 0.6,
+         "OverWorth": 0.3, "PeakUnits": 14.0, "UnitsPerS": 1.25, "ValueFactor": 0.875, "UnknownPlanKey": null},
+        {"CapDepth": 0.0, "CapRate": 0.0, "CeilingSlack": 0.0, "MaxOut": 0, "Name": "extra", "OverCost": 1.5,
+         "OverWorth": 0.0, "PeakUnits": 22.0, "UnitsPerS": 6.5, "ValueFactor": 1.75}
+    ],
+    "Prices": {
+        "Connection": 0.1, "CrossZone": 0.2, "Discovery": 0.3, "Fleet": 0.4, "Handshake": 0.5, "LateFail": 0.6,
+        "Moves": 0.7, "Origin": 0.8, "Peer": 0.9, "Probe": 1.0, "Waste": 1.1
+    },
+    "Rules": {
+        "AnswerSlack": 17.0, "ColdFrom": 0.175, "DrainGrace": 450.0, "FallMultiple": 3.5, "MustAskIn": 9000.0,
+        "OverloadFor": 1400.0, "WarmWithin": 13000.0, "UnknownRule": true
+    },
+    "Tick": 4.0,
+    "Tier": 1,
+    "Weights": "nominal",
+    "Zone": 2,
+    "UnknownKey": {"Nested": [1, "two", null]}
+}"#;
+
+/// Settings with only the keys that have no default.
+pub const REQUIRED_SETTINGS: &str = r#"{
+    "Balancers": 1,
+    "Classes": [{"Target": 500.0, "Effect": "by_key", "Window": 2000.0}]
+}"#;
+
+/// The JSON value of a sample.
+pub fn parse(text: &str) -> Value {
+    serde_json::from_str(text).expect("the sample is JSON")
+}
+
+/// The first message of the simulator to an instance, on its one line.
+pub fn simulator_message(settings: &Value) -> String {
+    json!({"kind": "Hello", "GatekeeperId": "gatekeeper_0", "Prng": 7, "Conf": settings})
+        .to_string()
+}
+
+/// The file that the deployment writes for a gateway.
+pub fn deployment_file(settings: &Value) -> String {
+    let file = json!({
+        "name": "n3",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "peer_listen": "127.0.0.1:0",
+        "peers": [],
+        "known": {"rev": 41, "all": true, "targets": []},
+        "settings": settings,
+    });
+    serde_json::to_string_pretty(&file).expect("the file is JSON")
+}
+
+/// Reads the settings out of a message or file, where they have this key.
+fn document_at(key: &str, text: &str) -> SettingsDocument {
+    let settings = parse(text)[key].to_string();
+    serde_json::from_str(&settings).expect("the settings can be read")
+}
+
+/// The settings as read from both forms.
+pub fn both_documents(settings: &str) -> [SettingsDocument; 2] {
+    let settings = parse(settings);
+    [
+        document_at("Conf", &simulator_message(&settings)),
+        document_at("settings", &deployment_file(&settings)),
+    ]
+}
+
+/// A request class, its fields in the order of their declaration.
+pub fn class(
+    priority_weight: f64,
+    latency_objective_ms: f64,
+    late_answer_weight: f64,
+    idempotency: Idempotency,
+    deduplication_window_ms: f64,
+) -> RequestClass {
+    RequestClass {
+        priority_weight,
+        latency_objective_ms,
+        late_answer_weight,
+        idempotency,
+        deduplication_window_ms,
+    }
+}
+
+/// What [`COMPLETE_SETTINGS`] must be read as.
+pub fn complete_settings() -> Settings {
+    Settings {
+        gateway: 6,
+        gateway_count: 7,
+        zone: 2,
+        classes: vec![
+            class(2.5, 410.5, 0.25, Idempotency::Idempotent, 5100.0),
+            class(3.5, 620.0, 0.5, Idempotency::NonIdempotent, 5200.0),
+            class(
+                4.5,
+                630.0,
+                0.0,
+                Idempotency::Keyed(DeduplicationScope::All),
+                5300.0,
+            ),
+            class(
+                5.5,
+                640.0,
+                0.125,
+                Idempotency::Keyed(DeduplicationScope::Zone),
+                5400.0,
+            ),
+            class(
+                6.5,
+                650.0,
+                0.75,
+                Idempotency::Keyed(DeduplicationScope::Cell),
+                5500.0,
+            ),
+        ],
+        plans: vec![
+            Plan {
+                refill_rate: 1.25,
+                burst: 14.0,
+                max_concurrency: 3,
+                weight: 0.875,
+                over_quota_penalty: 0.6,
+                hard_limit_rate: 31.0,
+                hard_limit_burst: 71.0,
+                hard_limit_slack: 8.0,
+            },
+            Plan {
+                refill_rate: 6.5,
+                burst: 22.0,
+                max_concurrency: 0,
+                weight: 1.75,
+                over_quota_penalty: 1.5,
+                hard_limit_rate: 0.0,
+                hard_limit_burst: 0.0,
+                hard_limit_slack: 0.0,
+            },
+        ],
+        max_attempts: 5,
+        gossip_enabled: true,
+        max_request_cost: 9.0,
+        gossip_intake_per_second: 55.0,
+        initial_warmth: 0.175,
+        warmup_ms: 13_000.0,
+        warmup_overload_multiple: 3.5,
+    }
+}
