Remove three actions that the engine never asked for, and document events and actions

A search over the tree finds no place that produces `Action::CancelAttempt`, `Action::CheckHealth` or `Action::Log`, and no test that needs them. They are removed with their translation in the gateway, in the adapter and in the example. `Event::HealthChecked`, `AttemptOutcome::metered_use` and the fields of `LoadReport` stay: the adapter fills them from frames that it must go on accepting. Their documentation says which of them the engine does not read.

The comments of events.rs are rewritten with units and in full sentences.

--- a/examples/decision_digest/digest.rs
+++ b/examples/decision_digest/digest.rs
@@ -61,15 +61,6 @@
                 self.tag(3);
                 self.integer(*id);
             }
-            Action::CancelAttempt { id, attempt } => {
-                self.tag(4);
-                self.integer(*id);
-                self.integer(u64::from(*attempt));
-            }
-            Action::CheckHealth { endpoint: server } => {
-                self.tag(5);
-                self.text(server);
-            }
             Action::SendGossip { to, text } => {
                 self.tag(6);
                 self.integer(u64::from(*to));
@@ -83,10 +74,6 @@
                 self.integer(*token);
                 self.float(*after);
             }
-            Action::Log { text } => {
-                self.tag(8);
-                self.text(text);
-            }
         }
     }
 
--- a/examples/decision_digest/fleet.rs
+++ b/examples/decision_digest/fleet.rs
@@ -199,12 +199,6 @@
                 retry_after_ms: pause,
             } => self.final_answer(id, pause),
             Action::Fail { request: id } => self.final_answer(id, 0.0),
-            Action::CancelAttempt { id, attempt } => {
-                self.put(
-                    self.now,
-                    Due::AttemptEnd(id, attempt, AttemptResult::Cancelled),
-                );
-            }
             Action::SendGossip { to, text } => self.tell_note(gateway, to, text),
             Action::SetTimer {
                 token,
@@ -213,7 +207,6 @@
                 let life = self.gateways[gateway].life;
                 self.put(self.now + after, Due::Timer(gateway, life, token));
             }
-            Action::CheckHealth { .. } | Action::Log { .. } => {}
         }
     }
 
--- a/src/bin/marlshelf-simulator-adapter/wire.rs
+++ b/src/bin/marlshelf-simulator-adapter/wire.rs
@@ -184,15 +184,6 @@
         gatekeeper_id: &'a str,
         request_id: u64,
     },
-    Recall {
-        gatekeeper_id: &'a str,
-        request_id: u64,
-        trial: u32,
-    },
-    Test {
-        gatekeeper_id: &'a str,
-        worker: &'a str,
-    },
     Signal {
         gatekeeper_id: &'a str,
         neighbour_id: u32,
@@ -203,10 +194,6 @@
         nonce: u64,
         after: f64,
     },
-    Record {
-        gatekeeper_id: &'a str,
-        msg: &'a str,
-    },
 }
 
 /// All instances of this process, and the batch being read.
@@ -433,15 +420,6 @@
             gatekeeper_id: who,
             request_id: *id,
         },
-        Action::CancelAttempt { id, attempt } => Reply::Recall {
-            gatekeeper_id: who,
-            request_id: *id,
-            trial: *attempt,
-        },
-        Action::CheckHealth { endpoint: server } => Reply::Test {
-            gatekeeper_id: who,
-            worker: server,
-        },
         Action::SendGossip { to, text } => Reply::Signal {
             gatekeeper_id: who,
             neighbour_id: *to,
@@ -455,10 +433,6 @@
             nonce: *token,
             after: *after,
         },
-        Action::Log { text } => Reply::Record {
-            gatekeeper_id: who,
-            msg: text,
-        },
     }
 }
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,237 +1,226 @@
-//! The interface of the decision engine: events that it takes in and actions that it asks for.
+//! The interface of the decision engine: [`Event`]s that it takes in and [`Action`]s that it asks for.
 //!
-//! All times are milliseconds on the caller's clock, which only moves forward.
+//! The caller reports everything that a gateway observes as an event and carries out the resulting actions in their
+//! order. It reports the end of each attempt that an [`Action::Forward`] started as an [`Event::AttemptFinished`], and
+//! the end of each delay that an [`Action::SetTimer`] asked for as an [`Event::TimerFired`].
+//!
+//! All points in time are milliseconds on the caller's clock, which has no particular origin and only moves forward.
 
 use std::sync::Arc;
 
-/// The name of an endpoint. Only equality and order of names are used.
+/// The name of an endpoint. Only the equality and the order of names are used.
 pub type EndpointName = Arc<str>;
 
-/// The name of a tenant. Only equality of names is used.
+/// The name of a tenant. Only the equality of names is used.
 pub type TenantName = Arc<str>;
 
-/// The id of a request, which the caller never uses twice.
+/// The id of a request. The caller never uses an id twice.
 pub type RequestId = u64;
 
 /// The number of a gateway in its fleet, from 0.
 pub type GatewayId = u32;
 
-/// A value that comes back with a timer.
+/// A value that the engine chooses for a timer and gets back when the timer fires.
 pub type TimerToken = u64;
 
-/// What the list says of a server.
+/// What the endpoint list says about an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum EndpointState {
-    /// Its process runs.
+    /// It accepts requests.
     #[default]
     Ready,
-    /// It finishes its work and takes nothing new.
+    /// It completes the requests that it has and accepts no new ones.
     Draining,
-    /// It has been taken away.
+    /// It has left the fleet.
     Removed,
 }
 
-/// A line of the server list.
+/// An entry of the endpoint list.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
-    /// Its name.
+    /// The name that identifies the endpoint.
     pub name: EndpointName,
-    /// Its zone.
+    /// The number of its zone.
     pub zone: u32,
-    /// Its cell.
+    /// The number of its cell, a group of endpoints within a zone.
     pub cell: u32,
-    /// What kind of machine it is; machines of a kind are alike in speed.
+    /// The number of its hardware model. Endpoints of one model are expected to be equally fast.
     pub hardware: u32,
-    /// Its registered size, to compare with others'.
+    /// Its registered size, relative to the sizes of other endpoints.
     pub weight: f64,
-    /// What the list says of it.
+    /// What the list says about it.
     pub state: EndpointState,
-    /// When it last started; 0 means long ago.
+    /// When it last started, in milliseconds on the caller's clock; 0 means long ago.
     pub started_at_ms: f64,
 }
 
-/// What a list event holds.
+/// Which endpoints an [`Event::EndpointsChanged`] contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointListKind {
-    /// Every server there is; one not named is gone.
+    /// All endpoints. An endpoint that is missing has left the fleet.
     Snapshot,
-    /// Only those that changed.
+    /// Only the endpoints that have changed.
     Delta,
 }
 
-/// A request that came in.
+/// A request of a client.
 #[derive(Debug, Clone)]
 pub struct Request {
-    /// Its id, never used twice.
+    /// The id of the request, which is never used twice.
     pub id: RequestId,
-    /// Whose it is.
+    /// The tenant whose quota the request counts against.
     pub tenant: TenantName,
-    /// Its class.
+    /// The index of its class in [`Settings::classes`](crate::Settings::classes).
     pub class: usize,
-    /// The customer's plan.
+    /// The index of the tenant's plan in [`Settings::plans`](crate::Settings::plans).
     pub plan: usize,
-    /// The units it counts.
+    /// Its cost, in quota tokens. It may be an estimate: see [`AttemptOutcome::actual_cost`].
     pub cost: f64,
-    /// The first gateway of the customer's set.
+    /// The first gateway of the tenant's shard, which is the set of gateways that receive the tenant's requests.
     pub shard_start: GatewayId,
-    /// How many gateways the set has, counted round from the first.
+    /// The number of gateways in the shard. They follow the first one in numerical order, and gateway 0 follows the
+    /// last gateway of the fleet.
     pub shard_size: u32,
-    /// When the client leaves.
+    /// When the client stops waiting for an answer, in milliseconds on the caller's clock.
     pub client_deadline_ms: f64,
-    /// Whether the client says it tries again.
+    /// Whether the client has marked the request as a retry.
     pub is_retry: bool,
 }
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptResult {
-    /// Served.
+    /// The endpoint answered, and the answer went to the client.
     Success,
-    /// The server answered with an error; it may have run.
+    /// The endpoint answered with an error. The request may have executed.
     Error,
-    /// Turned away unseen.
+    /// The endpoint rejected the request before executing it.
     Overloaded,
-    /// No answer in time; it may have run.
+    /// No answer came in time. The request may have executed, or still execute.
     TimedOut,
-    /// No connection; it never ran.
+    /// No connection could be established. The request has not executed.
     ConnectFailed,
-    /// The connection broke; it may have run.
+    /// The connection was lost during the attempt. The request may have executed.
     ConnectionReset,
-    /// Called off; it may have run.
+    /// The gateway abandoned the attempt. The request may have executed.
     Cancelled,
-    /// Never sent.
+    /// The attempt was never sent. The request has not executed.
     NeverSent,
 }
 
-/// A server's own word on its load; what it does not report is absent.
+/// The load that an endpoint reports about itself. Values that it does not report are absent.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct LoadReport {
-    /// Requests it holds.
+    /// The number of requests in progress.
     pub in_flight: Option<f64>,
-    /// How busy its cores are, 0 to 1.
+    /// The fraction of CPU time in use, from 0 to 1. The engine does not read it at present.
     pub utilization: Option<f64>,
-    /// Requests a second it serves.
+    /// The number of requests completed per second. The engine does not read it at present.
     pub requests_per_second: Option<f64>,
 }
 
-/// How one attempt ended, and what came with the answer.
+/// How an attempt ended, and what the endpoint reported with its answer.
 #[derive(Debug, Clone)]
 pub struct AttemptOutcome {
-    /// The request.
+    /// The request that the attempt belongs to.
     pub request: RequestId,
-    /// The attempt's number, from 0.
+    /// The number of the attempt among the attempts of the request, from 0.
     pub attempt: u32,
-    /// The server.
+    /// The endpoint that the attempt went to.
     pub endpoint: EndpointName,
-    /// How it ended.
+    /// How the attempt ended.
     pub result: AttemptResult,
-    /// How long it was out.
+    /// How long the attempt took, in milliseconds.
     pub latency_ms: f64,
-    /// Whether the request has ended too.
+    /// Whether the request has ended as well, so that no answer is owed any more.
     pub request_ended: bool,
-    /// The customer's metered use over all gateways, as a share of its rate or open cap.
+    /// The tenant's metered use over all gateways, as a fraction of its refill rate, or of its concurrency limit if it
+    /// has no rate. The engine does not read it at present.
     pub metered_use: Option<f64>,
-    /// The true units, where the request's were a guess.
+    /// The actual cost in quota tokens, if the cost of the request was an estimate.
     pub actual_cost: Option<f64>,
-    /// The server's load report.
+    /// The load report that came with the answer.
     pub load_report: Option<LoadReport>,
 }
 
-/// What a gateway sees.
+/// Something that a gateway observes.
 #[derive(Debug, Clone)]
 pub enum Event {
-    /// News of the servers.
+    /// Discovery has sent a list of endpoints.
     EndpointsChanged {
-        /// Whether all of them or only changes.
+        /// Whether the list is complete or holds only changes.
         kind: EndpointListKind,
-        /// The lines.
+        /// The entries of the list.
         endpoints: Vec<Endpoint>,
     },
-    /// A request came in.
+    /// A client has sent a request, to which exactly one final answer is owed.
     RequestReceived(Request),
-    /// An attempt ended.
+    /// An attempt has ended.
     AttemptFinished(AttemptOutcome),
-    /// The client left; the request has ended.
+    /// The client has disconnected or stopped waiting. The request has ended, and no answer is owed any more.
     ClientDisconnected {
         /// The request.
         request: RequestId,
     },
-    /// What a probe found.
+    /// A health check has finished. The engine requests no health checks at present and ignores their results.
     HealthChecked {
-        /// The server.
+        /// The endpoint that was checked.
         endpoint: EndpointName,
-        /// Whether it answered well.
+        /// Whether the endpoint is healthy.
         ok: bool,
-        /// Its load report.
+        /// The load report that came with the result.
         load_report: Option<LoadReport>,
     },
-    /// A note from another gateway.
+    /// A gossip message has arrived from another gateway.
     GossipReceived {
-        /// Its number.
+        /// The gateway that sent it.
         from: GatewayId,
-        /// What it says.
+        /// The text of the message.
         text: String,
     },
-    /// A timer came due.
+    /// A timer has fired.
     TimerFired {
-        /// The token it was set with.
+        /// The token that the timer was set with.
         token: TimerToken,
     },
 }
 
-/// What a gateway does.
+/// Something that the engine asks the caller to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Starts an attempt.
+    /// Start an attempt. The attempts of a request are numbered from 0 in the order of these actions.
     Forward {
-        /// The request.
+        /// The request to forward.
         request: RequestId,
-        /// The server.
+        /// The endpoint to forward it to.
         endpoint: EndpointName,
-        /// When to abandon the attempt.
+        /// When to abandon the attempt, in milliseconds on the caller's clock.
         deadline_ms: f64,
     },
-    /// The final answer "not now; trying again is harmless".
+    /// Answer the request with a rejection, which is final and tells the client that a retry is safe.
     Reject {
-        /// The request.
+        /// The request to answer.
         request: RequestId,
-        /// How long the client should keep away; 0 gives no advice.
+        /// How long the client should wait before it retries, in milliseconds; 0 gives no advice.
         retry_after_ms: f64,
     },
-    /// The final answer "failed", which promises nothing.
+    /// Answer the request with a failure, which is final and does not tell whether the request has executed.
     Fail {
-        /// The request.
+        /// The request to answer.
         request: RequestId,
     },
-    /// Calls one attempt off.
-    CancelAttempt {
-        /// The request.
-        id: u64,
-        /// The attempt's number.
-        attempt: u32,
-    },
-    /// Probes a server.
-    CheckHealth {
-        /// The server.
-        endpoint: EndpointName,
-    },
-    /// Sends a note to another gateway.
+    /// Send a gossip message to another gateway.
     SendGossip {
-        /// Its number.
+        /// The gateway to send it to.
         to: GatewayId,
-        /// At most 256 bytes.
+        /// The text of the message, at most 256 bytes.
         text: String,
     },
-    /// Asks for a timer event.
+    /// Report [`Event::TimerFired`] after a delay. Timers cannot be cancelled.
     SetTimer {
-        /// Comes back with the event.
+        /// The token to report.
         token: TimerToken,
-        /// How far from now.
+        /// The delay from now, in milliseconds.
         delay_ms: f64,
     },
-    /// A line for the host's log.
-    Log {
-        /// The line.
-        text: String,
-    },
 }
--- a/src/gateway/event_loop.rs
+++ b/src/gateway/event_loop.rs
@@ -486,12 +486,6 @@
                 self.answer(id, &line);
             }
             Action::Fail { request: id } => self.answer(id, b"-ERR failed\r\n"),
-            Action::CancelAttempt { id, attempt } => {
-                let out = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
-                if out.is_some_and(|a| a.number == attempt) {
-                    self.give_up(id, AttemptResult::Cancelled);
-                }
-            }
             Action::SendGossip { to, text } => {
                 if let Some(peers) = &self.peers {
                     peers.send(to, &text);
@@ -501,9 +495,6 @@
                 token,
                 delay_ms: after,
             } => self.at(now + after, Timer::Engine(token)),
-            Action::Log { text } => eprintln!("marlshelf-gateway: {text}"),
-            // Workers are not probed.
-            Action::CheckHealth { .. } => {}
         }
     }
 
