Name the tests of the built gateway and their stand-ins in the terms of the field

The stand-ins are now documented modules under tests/process/support/ (endpoint, discovery, gossip peer, connection, gateway process, configuration, disconnects, idle clients), the files are named after their subject, and each test name states a condition and a result.

--- /dev/null
+++ b/tests/process/client_disconnects_at_shutdown.rs
@@ -0,0 +1,75 @@
+//! Clients that disconnect during a graceful shutdown: their waiting requests are not forwarded any more.
+
+use crate::support::*;
+
+#[test]
+fn waiting_request_is_dropped_after_a_half_close_during_the_shutdown() {
+    let mut fleet = SingleEndpoint::with_concurrency_limit(1);
+    let mut waiting = fleet.gateway.connect();
+    let mut idle = fleet.gateway.connect();
+    let mut first = fleet.start_request(read_request(8000));
+    waiting.send(read_request_with_id(REQUEST_ID, 8000));
+    idle.expect_pong();
+    fleet.gateway.signal(Signal::Terminate);
+    idle.expect_close("it is idle during a graceful shutdown");
+    waiting.half_close();
+    waiting.expect_close("it has disconnected during the shutdown");
+    first.complete("first");
+    fleet.gateway.expect_successful_exit();
+    let open = std::slice::from_mut(&mut first.forwarded);
+    expect_nothing_forwarded(&fleet.endpoint, open, "half-close during the shutdown");
+}
+
+/// Has the gateway find a released permit and the client's disconnect at once, during its shutdown.
+fn check_permit_released_with_disconnect(disconnect: Disconnect) {
+    let mut fleet = SingleEndpoint::with_concurrency_limit(1);
+    let mut waiting = fleet.gateway.connect();
+    let mut first = fleet.start_request(read_request(8000));
+    let pooled = pooled_connection(&fleet.endpoint, &fleet.gateway);
+    waiting.send(read_request_with_id(REQUEST_ID, 8000));
+    fleet.gateway.begin_shutdown();
+    fleet.gateway.suspend();
+    first.forwarded.send_value("first");
+    let mut disconnected = [waiting];
+    disconnect.apply(&fleet.gateway, &mut disconnected);
+    fleet.gateway.resume();
+    first.client.expect_reply("first");
+    fleet.gateway.expect_successful_exit();
+    let mut open = [first.forwarded, pooled];
+    expect_nothing_forwarded(&fleet.endpoint, &mut open, &format!("{disconnect:?}"));
+}
+
+#[test]
+fn request_is_not_forwarded_if_its_permit_is_released_together_with_the_disconnect() {
+    for disconnect in Disconnect::ALL {
+        check_permit_released_with_disconnect(disconnect);
+    }
+}
+
+/// Has the gateway find the answers to requests in flight, further requests and the clients' disconnects at once,
+/// during its shutdown.
+fn check_requests_with_disconnect(disconnect: Disconnect) {
+    let mut fleet = SingleEndpoint::start();
+    let mut group = RequestGroup::start(&fleet, || read_request(8000));
+    let pooled = pooled_connection(&fleet.endpoint, &fleet.gateway);
+    fleet.gateway.begin_shutdown();
+    fleet.gateway.suspend();
+    // While the gateway waits for these answers it reads nothing more from the clients.
+    group.answer_all("first");
+    for client in &mut group.clients {
+        client.send(read_request(8000));
+    }
+    disconnect.apply(&fleet.gateway, &mut group.clients);
+    fleet.gateway.resume();
+    fleet.gateway.expect_successful_exit();
+    let mut open = group.forwarded;
+    open.push(pooled);
+    expect_nothing_forwarded(&fleet.endpoint, &mut open, &format!("{disconnect:?}"));
+}
+
+#[test]
+fn request_that_arrives_together_with_the_disconnect_is_not_forwarded() {
+    for disconnect in Disconnect::ALL {
+        check_requests_with_disconnect(disconnect);
+    }
+}
--- /dev/null
+++ b/tests/process/client_disconnects_during_attempt.rs
@@ -0,0 +1,107 @@
+//! Clients that disconnect while an attempt is in flight: the request is not retried once that attempt fails.
+
+use crate::support::*;
+
+#[test]
+fn failed_attempt_is_not_retried_after_the_disconnect() {
+    let fleet = SingleEndpoint::start();
+    let other_endpoint = StandInEndpoint::start();
+    let mut watch = fleet.discovery.next_watch();
+    let InFlightRequest {
+        mut client,
+        forwarded: mut attempt,
+    } = fleet.start_request(read_request_with_id(REQUEST_ID, 8000));
+    watch.send(&list_change(
+        2,
+        &[ready_endpoint("s-2", other_endpoint.address)],
+    ));
+    client.half_close();
+    client.expect_close("it has disconnected while its attempt is in flight");
+    attempt.shut_down();
+    fleet.discovery.wait_until_processed(&mut watch);
+    let mut other_client = fleet.gateway.connect();
+    other_client.try_send(read_request(8000));
+    let mut connection = other_endpoint
+        .connection_unless_reused(&mut attempt)
+        .unwrap_or_else(|| fleet.endpoint.next_connection());
+    let command = connection.read_command();
+    assert_ne!(
+        command.request_id(),
+        REQUEST_ID,
+        "expected that the request of the disconnected client is not retried"
+    );
+}
+
+/// How an attempt fails.
+#[derive(Clone, Copy, Debug)]
+enum AttemptFailure {
+    ConnectionClosed,
+    Reply(&'static str),
+}
+
+impl AttemptFailure {
+    const ALL: [AttemptFailure; 3] = [
+        AttemptFailure::ConnectionClosed,
+        AttemptFailure::Reply("-BUSY\r\n"),
+        AttemptFailure::Reply("-ERR failed\r\n"),
+    ];
+
+    fn apply(self, attempt: &mut Connection) {
+        match self {
+            AttemptFailure::ConnectionClosed => attempt.shut_down(),
+            AttemptFailure::Reply(reply) => attempt.send(reply),
+        }
+    }
+}
+
+/// Has the gateway find an attempt's failure and the client's disconnect at once.
+fn check_failure_with_disconnect(case: DisconnectCase, failure: AttemptFailure) {
+    let mut fleet = TwoPooledEndpoints::start();
+    let mut client = fleet.gateway.connect();
+    client.send(read_request_with_id(REQUEST_ID, 8000));
+    wait_until("the request is forwarded", || {
+        fleet.pooled.iter_mut().any(Connection::has_unread_input)
+    });
+    let used = fleet
+        .pooled
+        .iter_mut()
+        .position(Connection::has_unread_input);
+    let mut attempt = fleet
+        .pooled
+        .remove(used.expect("one of the two connections is used"));
+    let mut unused = fleet.pooled.remove(0);
+    assert_eq!(
+        attempt.read_command().request_id(),
+        REQUEST_ID,
+        "expected the client's request"
+    );
+    case.enter_phase(&fleet.gateway);
+    fleet.gateway.suspend();
+    failure.apply(&mut attempt);
+    case.disconnect.apply(&fleet.gateway, &mut [client]);
+    fleet.gateway.resume();
+    match case.phase {
+        Phase::ShuttingDown => fleet.gateway.expect_successful_exit(),
+        Phase::Serving => {
+            fleet.gateway.wait_until_input_is_processed();
+            fleet.gateway.kill();
+        }
+    }
+    unused.expect_close(&format!(
+        "no retry after the disconnect: {case:?}, {failure:?}"
+    ));
+    for endpoint in &fleet.endpoints {
+        endpoint.expect_no_new_connection(&format!(
+            "no retry after the disconnect: {case:?}, {failure:?}"
+        ));
+    }
+}
+
+#[test]
+fn attempt_that_fails_together_with_the_disconnect_is_not_retried() {
+    for case in DisconnectCase::all() {
+        for failure in AttemptFailure::ALL {
+            check_failure_with_disconnect(case, failure);
+        }
+    }
+}
--- /dev/null
+++ b/tests/process/client_disconnects_in_pipeline.rs
@@ -0,0 +1,154 @@
+//! Clients that disconnect with pipelined or malformed input: their requests that were not forwarded yet are dropped.
+
+use crate::support::*;
+use std::thread;
+
+/// Fills a pipeline behind a request: more commands than a client may have in progress.
+fn request_and_full_pipeline() -> Vec<u8> {
+    [
+        read_request_with_id(REQUEST_ID, 8000),
+        ping_command().repeat(2000),
+    ]
+    .concat()
+}
+
+/// A client that has sent this while another request of its tenant holds the only permit.
+struct WaitingClient {
+    fleet: SingleEndpoint,
+    in_flight: InFlightRequest,
+    client: Connection,
+}
+
+impl WaitingClient {
+    fn send(input: impl AsRef<[u8]>) -> WaitingClient {
+        let fleet = SingleEndpoint::with_concurrency_limit(1);
+        let in_flight = fleet.start_request(read_request(8000));
+        let mut client = fleet.gateway.connect();
+        client.send(input);
+        fleet.gateway.wait_until_input_is_processed();
+        WaitingClient {
+            fleet,
+            in_flight,
+            client,
+        }
+    }
+}
+
+#[test]
+fn half_close_behind_a_full_pipeline_drops_the_waiting_request() {
+    let WaitingClient {
+        fleet,
+        in_flight,
+        mut client,
+    } = WaitingClient::send(request_and_full_pipeline());
+    client.half_close();
+    client.expect_close("it has disconnected with a full pipeline");
+    expect_released_permit_goes_to_next_client(&fleet.endpoint, &fleet.gateway, in_flight);
+}
+
+#[test]
+fn reset_behind_a_full_pipeline_drops_the_waiting_request() {
+    let WaitingClient {
+        fleet,
+        in_flight,
+        client,
+    } = WaitingClient::send(request_and_full_pipeline());
+    let mut other_client = fleet.gateway.connect();
+    reset_on_close(&client);
+    drop(client);
+    // The gateway has processed all that came before once it answers this.
+    other_client.expect_pong();
+    expect_released_permit_goes_to_next_client(&fleet.endpoint, &fleet.gateway, in_flight);
+}
+
+#[test]
+fn half_close_behind_malformed_input_drops_the_waiting_request() {
+    let request = read_request_with_id(REQUEST_ID, 8000);
+    let WaitingClient {
+        fleet,
+        in_flight,
+        mut client,
+    } = WaitingClient::send([&request[..], b"nonsense\r\n", &[b'x'; 5000]].concat());
+    client.half_close();
+    client.expect_close("it has disconnected behind malformed input");
+    expect_released_permit_goes_to_next_client(&fleet.endpoint, &fleet.gateway, in_flight);
+}
+
+/// Has the gateway find requests and their client's disconnect at once, and checks that it forwards nothing.
+fn check_requests_with_disconnect(disconnect: Disconnect, count: usize, is_new_client: bool) {
+    let mut fleet = SingleEndpoint::start();
+    let mut first = fleet.start_request(read_request(8000));
+    first.complete("first");
+    thread::sleep(CONNECTION_REUSE_PAUSE);
+    fleet.gateway.suspend();
+    let mut client = if is_new_client {
+        fleet.gateway.connect()
+    } else {
+        first.client
+    };
+    let requests: Vec<u8> = (0..count).flat_map(|_| read_request(8000)).collect();
+    client.send(requests);
+    disconnect.apply(&fleet.gateway, &mut [client]);
+    fleet.gateway.resume();
+    fleet.gateway.wait_until_input_is_processed();
+    fleet.gateway.kill();
+    let case = format!("{disconnect:?}, {count} requests, new client: {is_new_client}");
+    expect_nothing_forwarded(&fleet.endpoint, &mut [first.forwarded], &case);
+}
+
+#[test]
+fn request_that_arrives_together_with_the_disconnect_is_not_forwarded() {
+    for disconnect in Disconnect::ALL {
+        for count in [1, 100, 300] {
+            for is_new_client in [false, true] {
+                check_requests_with_disconnect(disconnect, count, is_new_client);
+            }
+        }
+    }
+}
+
+#[test]
+fn ping_that_arrives_together_with_a_half_close_is_answered() {
+    let fleet = SingleEndpoint::start();
+    let mut client = fleet.gateway.connect();
+    fleet.gateway.suspend();
+    client.send(ping_command());
+    client.half_close();
+    fleet.gateway.resume();
+    client.expect_reply("+PONG");
+    client.expect_close("it has disconnected and nothing is in flight");
+}
+
+/// Checks a request that fits into the pipeline only when its client has disconnected.
+fn check_request_behind_full_pipeline(case: DisconnectCase) {
+    let mut fleet = SingleEndpoint::start();
+    let pings = ping_command().repeat(127);
+    let mut group = RequestGroup::start(&fleet, || {
+        [&read_request(8000)[..], &pings, &read_request(8000)].concat()
+    });
+    let pooled = pooled_connection(&fleet.endpoint, &fleet.gateway);
+    case.enter_phase(&fleet.gateway);
+    fleet.gateway.suspend();
+    // The answer empties each client's pipeline, so that the request behind it fits.
+    group.answer_all("first");
+    case.disconnect.apply(&fleet.gateway, &mut group.clients);
+    fleet.gateway.resume();
+    let mut open = group.forwarded;
+    open.push(pooled);
+    match case.phase {
+        Phase::ShuttingDown => {
+            fleet.gateway.expect_successful_exit();
+            expect_nothing_forwarded(&fleet.endpoint, &mut open, &format!("{case:?}"));
+        }
+        Phase::Serving => {
+            fleet.gateway.wait_until_input_is_processed();
+            let (endpoint, gateway) = (&fleet.endpoint, &fleet.gateway);
+            expect_only_next_request_forwarded(endpoint, gateway, open, &format!("{case:?}"));
+        }
+    }
+}
+
+#[test]
+fn request_behind_a_full_pipeline_is_not_forwarded_after_the_disconnect() {
+    DisconnectCase::all().for_each(check_request_behind_full_pipeline);
+}
--- /dev/null
+++ b/tests/process/descriptor_limit.rs
@@ -0,0 +1,332 @@
+//! The limit on file descriptors: idle clients fill their part of it, and leave discovery and endpoints theirs.
+
+use crate::support::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// The parts of the limit, in percent, that the README and the gateway give clients and endpoints.
+const CLIENT_PERCENT: usize = 33;
+const ENDPOINT_PERCENT: usize = 45;
+/// The part of the limit, in percent, that has to be free at the worst.
+const SPARE_PERCENT: usize = 10;
+
+#[track_caller]
+fn wait_until_descriptors_reach(gateway: &GatewayProcess, count: usize) {
+    wait_until("the descriptors of the clients' part are in use", || {
+        gateway.open_descriptors() >= count
+    });
+}
+
+#[track_caller]
+fn expect_descriptors_never_ran_out(gateway: &GatewayProcess) {
+    assert!(
+        !gateway.has_logged("cannot accept"),
+        "expected enough descriptors for every connection, got {:?}",
+        gateway.log()
+    );
+}
+
+/// Sends a request until it is forwarded: the gateway may close a client's connection before it has read the request.
+/// Begins with the idle client, if there is one.
+fn send_until_forwarded(
+    gateway: &GatewayProcess,
+    idle_client: Option<Connection>,
+    endpoint: &StandInEndpoint,
+) -> InFlightRequest {
+    let started = Instant::now();
+    let mut idle_client = idle_client;
+    loop {
+        let mut client = idle_client.take().unwrap_or_else(|| gateway.connect());
+        // The loop below sees that the connection was closed.
+        client.try_send(read_request(8000));
+        let stream = client.stream.get_ref();
+        while !is_closed_now(&mut stream.try_clone().expect("the socket can be cloned")) {
+            if let Some(mut forwarded) = endpoint.connection_within(Duration::from_millis(1)) {
+                stream
+                    .set_nonblocking(false)
+                    .expect("the socket can be made blocking");
+                forwarded.read_command();
+                return InFlightRequest { client, forwarded };
+            }
+            assert!(
+                started.elapsed() < TEST_TIMEOUT,
+                "expected the request of an accepted client to be forwarded"
+            );
+        }
+        assert!(
+            started.elapsed() < TEST_TIMEOUT,
+            "expected the gateway to accept a client and read its request"
+        );
+    }
+}
+
+/// How discovery is unavailable.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Outage {
+    /// Connections are refused.
+    Refusing,
+    /// Connections are completed and never answered.
+    Hanging,
+}
+
+/// Sends one event on every watch: some of the watches may have been opened during the outage and given up.
+struct WatchNotifier {
+    stopping: Arc<AtomicBool>,
+    notified: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl WatchNotifier {
+    fn start(discovery: StandInDiscovery, event: String) -> WatchNotifier {
+        let stopping = Arc::new(AtomicBool::new(false));
+        let notified = Arc::new(AtomicBool::new(false));
+        let (stop, has_notified) = (stopping.clone(), notified.clone());
+        let thread = thread::spawn(move || {
+            let mut open_watches = Vec::new();
+            while !stop.load(Ordering::Relaxed) {
+                let watch = discovery.watches.recv_timeout(Duration::from_millis(10));
+                if let Ok(mut watch) = watch {
+                    let _ = watch.try_send(&event);
+                    has_notified.store(true, Ordering::Relaxed);
+                    open_watches.push(watch);
+                }
+            }
+        });
+        WatchNotifier {
+            stopping,
+            notified,
+            thread,
+        }
+    }
+
+    fn wait_until_notified(&self) {
+        wait_until("the gateway opens a watch", || {
+            self.notified.load(Ordering::Relaxed)
+        });
+    }
+
+    fn stop(self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.thread
+            .join()
+            .expect("the watches are notified without a panic");
+    }
+}
+
+/// Discovery recovers: the endpoint `s-1` is removed, and `s-2` is ready at this address.
+fn end_outage(port: ReservedPort, outage: Outage, new_endpoint: &StandInEndpoint) -> WatchNotifier {
+    if outage == Outage::Refusing {
+        port.listen();
+    }
+    let discovery = StandInDiscovery::with_listener(port.into_listener(), complete_list(42, &[]));
+    let change = list_change(
+        43,
+        &[
+            removed_endpoint_without_description("s-1"),
+            ready_endpoint("s-2", new_endpoint.address),
+        ],
+    );
+    WatchNotifier::start(discovery, change)
+}
+
+/// Idle clients try to use every descriptor during an outage of discovery. Requests are forwarded all the same, and
+/// the gateway opens its watch and connects to a new endpoint once the outage ends.
+fn check_watch_and_endpoints_at_the_limit(
+    kinds: &[IdleClientKind],
+    socket_limit: u32,
+    outage: Outage,
+) {
+    let known_endpoint = StandInEndpoint::start();
+    let new_endpoint = StandInEndpoint::start();
+    let port = ReservedPort::bind();
+    if outage == Outage::Hanging {
+        port.listen();
+    }
+    let gateway = GatewayConfig {
+        known_list: complete_list(41, &[ready_endpoint("s-1", known_endpoint.address)]),
+        socket_limit,
+        shell_prefix: format!("ulimit -n {socket_limit}; exec"),
+        ..GatewayConfig::new(port.address)
+    }
+    .start();
+    let client_part = socket_limit as usize * CLIENT_PERCENT / 100;
+    // Far more than the clients' part: as many as would use every descriptor.
+    let _idle_clients = IdleClients::connect(gateway.address, kinds, socket_limit as usize);
+    wait_until_descriptors_reach(&gateway, client_part);
+
+    let mut known = send_until_forwarded(&gateway, None, &known_endpoint);
+    known.complete("known");
+
+    let notifier = end_outage(port, outage, &new_endpoint);
+    notifier.wait_until_notified();
+    known
+        .forwarded
+        .expect_close("it is idle and its endpoint was removed");
+    for (idle_client, value) in [
+        (None, "a new client"),
+        (Some(known.client), "an idle client"),
+    ] {
+        // The connection to the endpoint is dropped each time, so that the next request needs a new one.
+        send_until_forwarded(&gateway, idle_client, &new_endpoint).complete(value);
+    }
+    wait_until_descriptors_reach(&gateway, client_part);
+    expect_descriptors_never_ran_out(&gateway);
+    notifier.stop();
+}
+
+#[test]
+fn silent_clients_at_the_limit_leave_descriptors_for_the_watch_and_the_endpoints() {
+    let kinds = [IdleClientKind::Silent];
+    check_watch_and_endpoints_at_the_limit(&kinds, 256, Outage::Refusing);
+    check_watch_and_endpoints_at_the_limit(&kinds, 256, Outage::Hanging);
+}
+
+#[test]
+fn clients_with_partial_commands_at_the_limit_leave_descriptors_for_the_watch_and_the_endpoints() {
+    let kinds = [IdleClientKind::PartialCommand];
+    check_watch_and_endpoints_at_the_limit(&kinds, 256, Outage::Refusing);
+    check_watch_and_endpoints_at_the_limit(&kinds, 256, Outage::Hanging);
+}
+
+#[test]
+fn clients_between_commands_at_the_limit_leave_descriptors_for_the_watch_and_the_endpoints() {
+    let kinds = [IdleClientKind::BetweenCommands];
+    check_watch_and_endpoints_at_the_limit(&kinds, 256, Outage::Refusing);
+    check_watch_and_endpoints_at_the_limit(&kinds, 256, Outage::Hanging);
+}
+
+#[test]
+fn idle_clients_of_every_kind_at_the_limit_leave_descriptors_for_the_watch_and_the_endpoints() {
+    check_watch_and_endpoints_at_the_limit(&IdleClientKind::ALL, 256, Outage::Refusing);
+    check_watch_and_endpoints_at_the_limit(&IdleClientKind::ALL, 1024, Outage::Hanging);
+}
+
+const SOCKET_LIMIT: u32 = 256;
+const DESCRIPTORS: usize = SOCKET_LIMIT as usize;
+const CLIENT_PART: usize = DESCRIPTORS * CLIENT_PERCENT / 100;
+const ENDPOINT_PART: usize = DESCRIPTORS * ENDPOINT_PERCENT / 100;
+
+/// A gateway with a gossip socket and many endpoints, whose clients and endpoints use all descriptors they may.
+struct FullGateway {
+    gateway: GatewayProcess,
+    config: GatewayConfig,
+    discovery: StandInDiscovery,
+    watch: Watch,
+    /// Clients with two requests each.
+    clients: Vec<Connection>,
+    /// The client that fills the table, with one request.
+    last_client: Connection,
+    forwarded: Vec<Connection>,
+    _endpoints: Vec<StandInEndpoint>,
+}
+
+impl FullGateway {
+    fn start() -> FullGateway {
+        let endpoints: Vec<StandInEndpoint> = (0..60).map(|_| StandInEndpoint::start()).collect();
+        let listed: Vec<String> = endpoints
+            .iter()
+            .enumerate()
+            .map(|(index, endpoint)| ready_endpoint(&format!("s-{index}"), endpoint.address))
+            .collect();
+        let discovery = StandInDiscovery::with_list(complete_list(1, &listed));
+        let config = GatewayConfig {
+            socket_limit: SOCKET_LIMIT,
+            shell_prefix: format!("ulimit -n {SOCKET_LIMIT}; exec"),
+            limits: GOSSIP_LIMITS,
+            gossip_listen: ANY_PORT.into(),
+            ..GatewayConfig::new(discovery.address)
+        };
+        let gateway = config.start();
+        let watch = discovery.next_watch();
+        let mut clients: Vec<Connection> = (1..CLIENT_PART).map(|_| gateway.connect()).collect();
+        for client in &mut clients {
+            client.send([read_request(9000), read_request(9000)].concat());
+        }
+        let forwarded = wait_until_endpoint_part_is_used(&endpoints);
+        // The client that fills the table would be evicted if it had sent nothing when it is accepted.
+        gateway.signal(Signal::Stop);
+        let mut last_client = gateway.connect();
+        last_client.send(read_request(9000));
+        gateway.signal(Signal::Continue);
+        wait_until_descriptors_reach(&gateway, CLIENT_PART + ENDPOINT_PART);
+        FullGateway {
+            gateway,
+            config,
+            discovery,
+            watch,
+            clients,
+            last_client,
+            forwarded,
+            _endpoints: endpoints,
+        }
+    }
+
+    /// The gateway opens a new watch and reads its configuration, while new clients find no client to evict.
+    fn expect_descriptors_for_watch_and_reload(&mut self) {
+        self.watch.send_malformed();
+        let _watch = self.discovery.next_watch();
+        self.gateway.reload(&self.config.json());
+        self.gateway.wait_for_log(LOG_CONFIGURATION_RELOADED);
+        let _watch = self.discovery.next_watch();
+        let open = self.gateway.open_descriptors();
+        assert!(
+            open >= CLIENT_PART + ENDPOINT_PART
+                && open + DESCRIPTORS * SPARE_PERCENT / 100 <= DESCRIPTORS,
+            "expected full parts and a margin of {SPARE_PERCENT} %, got {open} of {SOCKET_LIMIT} descriptors in use"
+        );
+    }
+
+    /// Every request that has reached an endpoint gets the answer of that endpoint, on its client's connection.
+    fn expect_forwarded_requests_answered(&mut self) {
+        assert_eq!(
+            self.forwarded.len(),
+            ENDPOINT_PART,
+            "expected as many forwarded requests as the endpoints' part holds"
+        );
+        for connection in &mut self.forwarded {
+            connection.answer_request("served");
+        }
+        let mut served = 0;
+        for client in &mut self.clients {
+            for _ in 0..2 {
+                match client.read_reply().as_str() {
+                    "served" => served += 1,
+                    rejection => assert!(
+                        rejection.starts_with("-BUSY"),
+                        "expected a value or a rejection, got {rejection:?}"
+                    ),
+                }
+            }
+        }
+        assert_eq!(
+            served, ENDPOINT_PART,
+            "expected an answer for every forwarded request"
+        );
+        self.last_client.expect_reply_prefix("-BUSY");
+    }
+}
+
+/// Takes the connections to these endpoints until they use the endpoints' part.
+fn wait_until_endpoint_part_is_used(endpoints: &[StandInEndpoint]) -> Vec<Connection> {
+    let mut forwarded = Vec::new();
+    wait_until("the endpoints' part is used", || {
+        let accepted = endpoints
+            .iter()
+            .flat_map(StandInEndpoint::accepted_connections);
+        forwarded.extend(accepted);
+        forwarded.len() >= ENDPOINT_PART
+    });
+    forwarded
+}
+
+#[test]
+fn clients_and_endpoints_at_their_limits_leave_a_margin_and_forwarded_requests_are_answered() {
+    let mut full = FullGateway::start();
+    let _idle_clients =
+        IdleClients::connect(full.gateway.address, &IdleClientKind::ALL, CLIENT_PART);
+    full.expect_descriptors_for_watch_and_reload();
+    full.expect_forwarded_requests_answered();
+    expect_descriptors_never_ran_out(&full.gateway);
+}
--- /dev/null
+++ b/tests/process/endpoint_responses.rs
@@ -0,0 +1,63 @@
+//! Responses of endpoints that are malformed or come with surplus bytes.
+
+use crate::support::*;
+
+#[test]
+fn malformed_response_fails_its_attempt_only() {
+    for response in [
+        "+what\r\n",
+        "*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+        "*3\r\n$999999\r\n",
+        "*3\r\n$1\r\nabc",
+    ] {
+        let fleet = SingleEndpoint::start();
+        let mut in_flight = fleet.start_request(write_request("pay", 5000));
+        in_flight.forwarded.send(response);
+        let reply = in_flight.client.read_reply();
+        assert_eq!(
+            reply, "-ERR failed",
+            "{response:?}: expected that the request fails"
+        );
+        in_flight
+            .forwarded
+            .expect_close("its response was malformed");
+        let request = write_request("pay", 5000);
+        complete_on_new_connection(&mut in_flight.client, request, &fleet.endpoint, "sound");
+    }
+}
+
+#[test]
+fn connection_with_bytes_behind_a_response_is_not_reused() {
+    let fleet = SingleEndpoint::start();
+    let mut in_flight = fleet.start_request(read_request(5000));
+    in_flight
+        .forwarded
+        .send("*3\r\n$1\r\na\r\n$-1\r\n$-1\r\n*3\r\n$1\r\nb\r\n$-1\r\n$-1\r\n");
+    in_flight.client.expect_reply("a");
+    let request = read_request(5000);
+    complete_on_new_connection(&mut in_flight.client, request, &fleet.endpoint, "c");
+}
+
+#[test]
+fn valid_value_is_returned_and_the_connection_closed_if_the_rest_of_the_response_is_malformed() {
+    for malformed_rest in [
+        ":7\r\n$-1\r\n",
+        "$-1\r\n+util\r\n",
+        "$-1\r\n$99999999\r\n",
+        "$1\r\nabc",
+    ] {
+        let fleet = SingleEndpoint::start();
+        let mut in_flight = fleet.start_request(write_request("pay", 5000));
+        in_flight
+            .forwarded
+            .send(format!("*3\r\n$4\r\ngood\r\n{malformed_rest}"));
+        let reply = in_flight.client.read_reply();
+        assert_eq!(
+            reply, "good",
+            "{malformed_rest:?}: expected the value before it"
+        );
+        in_flight
+            .forwarded
+            .expect_close("the end of its response is not known");
+    }
+}
--- /dev/null
+++ b/tests/process/graceful_shutdown.rs
@@ -0,0 +1,139 @@
+//! Graceful shutdown after SIGTERM: accepted requests are answered, and the peers' quota requests too.
+
+use crate::support::*;
+use std::time::{Duration, Instant};
+
+#[test]
+fn sigterm_closes_idle_connections_and_answers_accepted_requests_before_the_exit() {
+    let mut fleet = SingleEndpoint::start();
+    let mut idle = fleet.gateway.connect();
+    idle.expect_pong();
+    let mut in_flight = fleet.start_request(read_request(8000));
+    fleet.gateway.signal(Signal::Terminate);
+    fleet.gateway.wait_for_log(LOG_SHUTTING_DOWN);
+    // New connections are accepted and served for a grace period.
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_millis(150) {
+        fleet.gateway.connect().expect_pong();
+    }
+    let mut late_client = fleet.gateway.connect();
+    let _late = complete_on_new_connection(
+        &mut late_client,
+        read_request(8000),
+        &fleet.endpoint,
+        "late",
+    );
+    idle.expect_close("it is idle during a graceful shutdown");
+    in_flight.complete("busy");
+    in_flight
+        .client
+        .expect_close("its last request is answered during a graceful shutdown");
+    fleet.gateway.expect_successful_exit();
+}
+
+#[test]
+fn quota_requests_of_peers_are_answered_during_the_shutdown_until_the_exit() {
+    let mut pair = GatewayWithPeer::start();
+    pair.gateway.begin_shutdown();
+    for number in 1..10 {
+        let response = pair.request_quota(number);
+        assert!(
+            response.starts_with(&format!("g,aa,1,{number},")),
+            "expected a grant for request {number}, got {response:?}"
+        );
+    }
+    pair.gateway.expect_successful_exit();
+}
+
+/// Fills the connection table of a gateway with a limit of 64 sockets: 21 clients, each with a request in flight, so
+/// that none of them can be evicted.
+fn fill_connection_table(fleet: &SingleEndpoint) -> Vec<InFlightRequest> {
+    const TABLE_SIZE: usize = 21;
+    let mut in_flight = Vec::new();
+    for index in 0..TABLE_SIZE {
+        // The last client fills the table, and would be evicted if it had sent nothing when it is accepted.
+        let is_last = index == TABLE_SIZE - 1;
+        fleet.gateway.signal(if is_last {
+            Signal::Stop
+        } else {
+            Signal::Continue
+        });
+        let mut client = fleet.gateway.connect();
+        client.send(read_request(9000));
+        fleet.gateway.signal(Signal::Continue);
+        let mut forwarded = fleet.endpoint.next_connection();
+        forwarded.read_command();
+        in_flight.push(InFlightRequest { client, forwarded });
+    }
+    in_flight
+}
+
+#[test]
+fn client_in_the_accept_queue_of_a_full_gateway_is_answered_during_the_shutdown() {
+    let mut fleet = SingleEndpoint::configured(|config| config.socket_limit = 64);
+    let mut in_flight = fill_connection_table(&fleet);
+    let mut queued = fleet.gateway.connect();
+    queued.send(ping_command());
+    fleet.gateway.signal(Signal::Terminate);
+    fleet.gateway.wait_for_log(LOG_LISTENER_CLOSED);
+    for request in &mut in_flight {
+        request.complete("busy");
+    }
+    queued.expect_reply("+PONG");
+    queued.expect_close("its command is answered during a graceful shutdown");
+    fleet.gateway.expect_successful_exit();
+}
+
+#[test]
+fn request_that_would_outlast_the_shutdown_timeout_is_answered_before_the_exit() {
+    let mut fleet = SingleEndpoint::configured(|config| config.read_deadline_ms = "60000.0");
+    let mut idle = fleet.gateway.connect();
+    let mut unanswered = fleet.start_request(read_request(60_000));
+    let mut answered = fleet.start_request(read_request(60_000));
+    idle.expect_pong();
+    fleet.gateway.signal(Signal::Terminate);
+    idle.expect_close("it is idle during a graceful shutdown");
+    // Pipelined behind a request in flight. The endpoint does not answer this one either.
+    answered.client.send(read_request(60_000));
+    answered.complete("in time");
+    let mut pipelined = fleet
+        .endpoint
+        .connection_of_next_request(answered.forwarded);
+    let deadline_ms = pipelined.read_command().deadline_ms();
+    assert!(
+        deadline_ms < 3700,
+        "expected a deadline within the shutdown timeout, got {deadline_ms} ms"
+    );
+    // Both are answered far ahead of their own deadlines.
+    unanswered.client.expect_reply_prefix("-");
+    answered.client.expect_reply_prefix("-");
+    fleet.gateway.expect_successful_exit();
+}
+
+/// A gateway that waits for its first endpoint list, with discovery not answering. A gateway that was so slow to
+/// start that it has stopped waiting is no case of this, so that several are tried.
+fn gateway_awaiting_its_first_list() -> GatewayProcess {
+    let mut attempts = (0..100).map(|_| {
+        let silent_discovery = ManualDiscovery::start();
+        let gateway = GatewayConfig::new(silent_discovery.address).spawn();
+        // The gateway handles signals from before its poll on.
+        let _poll = silent_discovery.next_connection();
+        gateway
+    });
+    attempts
+        .find(|gateway| !gateway.has_logged(LOG_SERVING))
+        .expect("one gateway of many waits for its list")
+}
+
+#[test]
+fn sigterm_ends_a_gateway_that_waits_for_its_first_endpoint_list() {
+    let mut gateway = gateway_awaiting_its_first_list();
+    gateway.signal(Signal::Terminate);
+    gateway.wait_for_log(LOG_SHUTTING_DOWN);
+    gateway.expect_successful_exit();
+    assert!(
+        !gateway.has_logged(LOG_SERVING),
+        "expected an exit without serving clients, got {:?}",
+        gateway.log()
+    );
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,10 +1,21 @@
-//! The built gatekeeper over loopback, against small fakes of clients, workers and discovery.
+//! The built gateway over loopback sockets, against stand-ins for clients, endpoints, discovery and a second gateway.
 
-mod clients;
-mod departures;
-mod fakes;
-mod limits;
-mod lists;
-mod ready;
+mod attempts;
+mod client_connections;
+mod client_disconnects_at_shutdown;
+mod client_disconnects_during_attempt;
+mod client_disconnects_in_groups;
+mod client_disconnects_in_pipeline;
+mod client_disconnects_while_waiting;
+mod configuration;
+mod descriptor_limit;
+mod endpoint_connections;
+mod endpoint_lists;
+mod endpoint_responses;
+mod gossip;
+mod graceful_shutdown;
+mod readiness;
+mod resource_limits;
 mod serving;
-mod shutdown;
+mod support;
+mod takeover;
--- /dev/null
+++ b/tests/process/support/mod.rs
@@ -0,0 +1,29 @@
+//! Stand-ins for clients, endpoints, discovery and a second gateway, and the gateway process under test.
+
+mod config;
+mod connection;
+mod disconnects;
+mod discovery;
+mod endpoint;
+mod forwarding;
+mod gateway_process;
+mod gossip_peer;
+mod idle_clients;
+mod requests;
+mod sockets;
+mod topology;
+mod wait;
+
+pub use config::*;
+pub use connection::*;
+pub use disconnects::*;
+pub use discovery::*;
+pub use endpoint::*;
+pub use forwarding::*;
+pub use gateway_process::*;
+pub use gossip_peer::*;
+pub use idle_clients::*;
+pub use requests::*;
+pub use sockets::*;
+pub use topology::*;
+pub use wait::*;
