Move the tests of the decision engine to a crate with a file for each subject

They become tests/decisions: a file for each subject, test names that state a condition and its result, failure messages that state what was expected, and stand-ins in tests/decisions/support (settings, requests, a gateway under test, a pair of gateways with a gossip link, simulated fleets and endpoints).

56 tests become 60: four that held two cases each are split.

--- /dev/null
+++ b/tests/decisions/gossip.rs
@@ -0,0 +1,150 @@
+//! Gossip between gateways: malformed input, pacing, and the size of what is reported after a silence.
+
+use crate::support::actions::{Actions, GOSSIP_TIMER};
+use crate::support::gateway::{TestGateway, endpoint};
+use crate::support::quota_fleet::{GATEWAYS, QUOTA_PLAN, quota_fleet_settings};
+use crate::support::requests::{request, success};
+use crate::support::settings::{SMALL_QUOTA, fleet_settings};
+use marlshelf::{Action, Event, Settings};
+use std::collections::BTreeSet;
+
+#[test]
+fn malformed_gossip_is_ignored() {
+    let mut gateway = TestGateway::new(fleet_settings(2));
+    for text in [
+        "",
+        ";;;",
+        "zz,1",
+        "1,NaN,inf;",
+        "a,1",
+        "a,1,9,1,1.0,0.0,1.0,400;",
+        "a,1,0,1,-5,0,1,9;",
+        "t,1,9,,1.0;",
+        "k,1,9,1;",
+        "k,1,0,x;",
+        "g,1,7,1,1,1,1,1;",
+        "g,ff,1,1,1e300,1,1,1;",
+        "\u{1F600},1,1",
+        "u,1,99,1,1.0;u,1,0,1,-5.0;u,1,0,1,NaN;u,1,0,x,1.0;u,1,0",
+    ] {
+        gateway.receive_gossip(1.0, 1, text);
+    }
+    assert!(
+        gateway.serve(request(1, 2.0)),
+        "the gateway still serves requests"
+    );
+}
+
+#[test]
+fn busy_gateway_of_hundreds_asks_the_quota_owners_of_many_tenants_without_delay() {
+    let sends_gossip = |actions: &[Action]| !actions.gossip().is_empty();
+    let mut gateway = TestGateway::new(Settings {
+        gossip_intake_per_second: 60.0,
+        ..fleet_settings(300)
+    });
+    let mut datagrams = 0;
+    let mut longest_delay_ms = 0.0f64;
+    for id in 0..80u64 {
+        let now_ms = 1000.0 + 12.5 * id as f64;
+        let mut actions = gateway.receive(
+            request(id, now_ms)
+                .plan(SMALL_QUOTA)
+                .tenant(&format!("c{id}"))
+                .shard_size(300),
+        );
+        let mut sent_at_ms = now_ms;
+        while !sends_gossip(&actions) && sent_at_ms < now_ms + 100.0 {
+            sent_at_ms += 1.0;
+            actions = gateway.fire_timer(sent_at_ms, GOSSIP_TIMER);
+        }
+        datagrams += actions.gossip().len();
+        longest_delay_ms = longest_delay_ms.max(sent_at_ms - now_ms);
+    }
+    assert!(
+        datagrams >= 75 && longest_delay_ms < 10.0,
+        "expected at least 75 datagrams for 80 tenants within 10 ms each, \
+         got {datagrams} within {longest_delay_ms} ms"
+    );
+}
+
+/// The time between two requests of `use_quotas_without_peers`.
+const REQUEST_INTERVAL_MS: f64 = 500.0;
+
+struct TimedEvent {
+    at_ms: f64,
+    event: Event,
+}
+
+/// A request that needs the quota of a tenant of its own, and the timers due before it, in the order of time.
+fn next_events(id: u64, timers: &mut Vec<TimedEvent>) -> Vec<TimedEvent> {
+    let now_ms = REQUEST_INTERVAL_MS * id as f64;
+    let received = request(id, now_ms)
+        .plan(QUOTA_PLAN)
+        .tenant(&format!("c{id}"))
+        .shard_size(GATEWAYS)
+        .client_deadline_ms(now_ms + 4000.0);
+    let mut events = vec![TimedEvent {
+        at_ms: now_ms,
+        event: received.event(),
+    }];
+    let due = timers.extract_if(.., |timer| timer.at_ms <= now_ms);
+    events.extend(due.map(|timer| TimedEvent {
+        at_ms: timer.at_ms.max(now_ms - REQUEST_INTERVAL_MS),
+        ..timer
+    }));
+    events.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    events
+}
+
+/// Each of 3,000 tenants sends one request, two a second, while the gateway receives no gossip.
+fn use_quotas_without_peers(gateway: &mut TestGateway) {
+    let mut timers = Vec::new();
+    for id in 0..3000u64 {
+        for TimedEvent { at_ms, event } in next_events(id, &mut timers) {
+            for action in gateway.handle(at_ms, event) {
+                match action {
+                    Action::SetTimer { token, delay_ms } => timers.push(TimedEvent {
+                        at_ms: at_ms + delay_ms,
+                        event: Event::TimerFired { token },
+                    }),
+                    Action::Forward {
+                        request, endpoint, ..
+                    } => {
+                        gateway.finish(at_ms, success(request, &endpoint, 5.0));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn unconfirmed_usage_reported_after_a_long_silence_is_bounded() {
+    let settings = Settings {
+        gateway: 0,
+        ..quota_fleet_settings()
+    };
+    let mut gateway = TestGateway::with_endpoints(settings, 7, vec![endpoint("s", 0)]);
+    use_quotas_without_peers(&mut gateway);
+    // The first gossip that arrives makes the gateway report, in as many datagrams as the pacing allows.
+    let mut datagrams = gateway.receive_gossip(1_500_000.0, 1, "").gossip();
+    for tick in 1..400 {
+        let now_ms = 1_500_000.0 + 50.0 * f64::from(tick);
+        datagrams.extend(gateway.fire_timer(now_ms, GOSSIP_TIMER).gossip());
+    }
+    let reported: BTreeSet<&str> = datagrams
+        .iter()
+        .flat_map(|text| text.split(';'))
+        .filter(|message| message.starts_with("u,"))
+        .collect();
+    assert!(
+        !reported.is_empty(),
+        "expected reports of unconfirmed usage, got none"
+    );
+    assert!(
+        reported.len() <= 150,
+        "expected at most 150 reports, as two tenants a second are remembered for a minute, got {}",
+        reported.len()
+    );
+}
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,15 @@
+//! Tests of the decision engine through its public API, without sockets or clocks.
+
+mod concurrency_permits;
+mod fleet_quotas;
+mod gossip;
+mod hard_limits;
+mod load_balancing;
+mod load_shedding;
+mod quota_leases;
+mod quota_owner;
+mod request_lifecycle;
+mod retries;
+mod slow_start;
+mod slow_start_fleet;
+mod support;
--- /dev/null
+++ b/tests/decisions/quota_leases.rs
@@ -0,0 +1,180 @@
+//! Gateways that do not own a tenant's quota: their requests to the owner, prefetched tokens, and what they do
+//! while the owner is silent.
+
+use crate::support::actions::Timer;
+use crate::support::gateway::{TestGateway, endpoint};
+use crate::support::gateway_pair::{GatewayPair, forwarded_count, request_timer};
+use crate::support::requests::request;
+use crate::support::settings::{SMALL_QUOTA, quota_plan, settings};
+use marlshelf::{Action, Event, Settings};
+
+#[test]
+fn request_is_forwarded_from_the_fallback_allotment_when_the_owner_stays_silent() {
+    let mut pair = GatewayPair::new(settings());
+    pair.partitioned = true;
+    for gateway in [0, 1] {
+        let actions = pair.receive(gateway, request(1, 0.0).plan(SMALL_QUOTA));
+        let Some(Timer { token, delay_ms }) = request_timer(&actions) else {
+            assert_eq!(forwarded_count(&actions), 1, "the owner forwards at once");
+            continue;
+        };
+        let retried = pair.fire_timer(gateway, delay_ms + 1.0, token);
+        assert_eq!(
+            forwarded_count(&retried),
+            0,
+            "the first timer retries the quota request"
+        );
+        assert!(
+            2.0 * delay_ms <= 400.0,
+            "expected both waits within half of the latency objective, got two of {delay_ms} ms"
+        );
+        let timed_out = pair.fire_timer(gateway, 2.0 * delay_ms + 1.0, token);
+        assert_eq!(
+            forwarded_count(&timed_out),
+            1,
+            "the fallback allotment covers the request"
+        );
+    }
+}
+
+#[test]
+fn lost_quota_request_is_retried_and_charged_once() {
+    let mut pair = GatewayPair::new(settings());
+    let undecided = pair.receive_at_non_owner(1000.0);
+    let Timer { token, delay_ms } = undecided.timer;
+    let actions = pair.fire_timer(undecided.gateway, 1000.0 + delay_ms, token);
+    assert_eq!(
+        forwarded_count(&actions),
+        1,
+        "the owner grants the retried request"
+    );
+    let owner = 1 - undecided.gateway;
+    let tokens_left: usize = (0..10)
+        .map(|index| pair.serve(owner, 100 + index, 1001.0 + delay_ms))
+        .sum();
+    assert!(
+        tokens_left <= 2,
+        "expected at most 2 of 4 tokens after a request at each gateway, got {tokens_left}"
+    );
+}
+
+#[test]
+fn prefetched_tokens_are_used() {
+    let mut settings = settings();
+    settings.plans[SMALL_QUOTA] = quota_plan(10.0, 60.0);
+    for gateway in [0, 1] {
+        let mut pair = GatewayPair::new(settings.clone());
+        let forwarded: usize = (0..120)
+            .map(|id| pair.serve(gateway, id, 50.0 * id as f64))
+            .sum();
+        assert!(
+            forwarded >= 110,
+            "expected at least 110 of a burst of 60 and as many refilled, got {forwarded}"
+        );
+    }
+}
+
+/// Tokens of a bucket of 4 that were used during and after a partition.
+struct PartitionUsage {
+    /// Forwarded by the other gateway while it could not reach the owner.
+    unconfirmed: usize,
+    /// Granted by the owner right after the partition.
+    left: usize,
+}
+
+/// Ten requests arrive at the gateway in four seconds during a partition. Returns how many it forwards.
+fn forwarded_during_partition(pair: &mut GatewayPair, gateway: usize) -> usize {
+    let mut timers: Vec<(f64, u64)> = Vec::new();
+    let mut forwarded = 0;
+    for step in 0..400u64 {
+        let now_ms = 1000.0 + 10.0 * step as f64;
+        let due = timers.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
+        let mut events: Vec<Event> = due.map(|(_, token)| Event::TimerFired { token }).collect();
+        if step % 40 == 0 {
+            events.push(request(10 + step, now_ms).plan(SMALL_QUOTA).event());
+        }
+        let actions: Vec<_> = events
+            .into_iter()
+            .flat_map(|event| pair.handle(gateway, now_ms, event))
+            .collect();
+        for entry in &actions {
+            if let Action::SetTimer { token, delay_ms } = entry.action {
+                timers.push((now_ms + delay_ms, token));
+            }
+            pair.answer_at_once(now_ms, entry);
+        }
+        forwarded += forwarded_count(&actions);
+    }
+    forwarded
+}
+
+/// Partitions two gateways of a tenant with this refill rate and lets them meet again.
+fn usage_around_a_partition(refill_rate: f64) -> PartitionUsage {
+    let mut settings = settings();
+    settings.plans[SMALL_QUOTA] = quota_plan(refill_rate, 4.0);
+    let mut pair = GatewayPair::new(settings);
+    let gateway = pair.receive_at_non_owner(0.0).gateway;
+    let owner = 1 - gateway;
+    pair.partitioned = true;
+    let unconfirmed = forwarded_during_partition(&mut pair, gateway);
+    pair.partitioned = false;
+    let first_gossip = Event::GossipReceived {
+        from: owner as u32,
+        text: String::new(),
+    };
+    pair.handle(gateway, 5000.0, first_gossip);
+    let left = (0..10)
+        .map(|index| pair.serve(owner, 1000 + index, 5000.0))
+        .sum();
+    PartitionUsage { unconfirmed, left }
+}
+
+#[test]
+fn usage_during_a_partition_is_charged_once_it_heals() {
+    let PartitionUsage { unconfirmed, left } = usage_around_a_partition(0.1);
+    assert!(
+        unconfirmed >= 2,
+        "expected at least 2 forwarded during the partition, got {unconfirmed}"
+    );
+    assert!(
+        unconfirmed + left <= 5,
+        "expected at most 5 of a burst of 4, got {unconfirmed} during the partition and {left} after"
+    );
+}
+
+#[test]
+fn usage_during_a_partition_is_charged_to_the_overflow_of_a_full_bucket_first() {
+    let PartitionUsage { unconfirmed, left } = usage_around_a_partition(2.0);
+    assert!(
+        unconfirmed >= 2 && left == 4,
+        "expected at least 2 during the partition and a full bucket of 4 after, got {unconfirmed} and {left}"
+    );
+}
+
+#[test]
+fn restarted_gateway_does_not_repeat_request_numbers_of_its_former_incarnation() {
+    let mut settings = settings();
+    settings.plans[SMALL_QUOTA].refill_rate = 0.01;
+    let mut pair = GatewayPair::new(settings.clone());
+    let gateway = pair.receive_at_non_owner(0.0).gateway;
+    let of_incarnation = |incarnation: u64| {
+        let settings = Settings {
+            gateway_count: 2,
+            gateway: gateway as u32,
+            ..settings.clone()
+        };
+        TestGateway::without_endpoints(settings, 0x5eed << incarnation)
+    };
+    let mut granted = 0;
+    for incarnation in 0..20u64 {
+        let now_ms = 1000.0 + 100.0 * incarnation as f64;
+        pair.gateways[gateway] = of_incarnation(incarnation);
+        pair.gateways[gateway].replace_endpoints(now_ms, vec![endpoint("a", 0)]);
+        granted += pair.serve(gateway, 10 + incarnation, now_ms);
+    }
+    assert!(
+        granted <= 4,
+        "expected at most the burst of 4 over 20 incarnations, got {granted}: \
+         the owner took requests for retries of former ones"
+    );
+}
--- /dev/null
+++ b/tests/decisions/slow_start_fleet.rs
@@ -0,0 +1,257 @@
+//! Slow start over a whole fleet: endpoints start one by one or many at once, also during a burst. An endpoint
+//! that warms up fails when in any window it is sent more than a multiple of its present capacity, and requests
+//! that it rejects count as well.
+
+use crate::support::simulated_endpoint::{SimulatedEndpoint, WARMUP_MS};
+use crate::support::slow_start_fleet::{
+    FIRST_START_MS, FleetSize, RUN_AFTER_START_MS, Rollout, RolloutKind, SlowStartFleet,
+};
+use std::fmt;
+use std::ops::Range;
+
+const SEEDS: u64 = 3;
+
+/// Two gateways see so much of their endpoints that these have to be fast to be overloaded.
+const TWO_GATEWAYS: FleetSize = FleetSize {
+    gateways: 2,
+    endpoints: 20,
+    capacity: 200.0,
+    utilization: 0.8,
+    min_served: 0.55,
+};
+const TWENTY_GATEWAYS: FleetSize = FleetSize {
+    gateways: 20,
+    endpoints: 20,
+    capacity: 60.0,
+    utilization: 0.7,
+    min_served: 0.85,
+};
+const THIRTY_GATEWAYS: FleetSize = FleetSize {
+    gateways: 30,
+    endpoints: 24,
+    ..TWENTY_GATEWAYS
+};
+const HUNDREDS_OF_GATEWAYS: FleetSize = FleetSize {
+    gateways: 300,
+    endpoints: 40,
+    ..TWENTY_GATEWAYS
+};
+const ALL_SIZES: [FleetSize; 4] = [
+    TWO_GATEWAYS,
+    TWENTY_GATEWAYS,
+    THIRTY_GATEWAYS,
+    HUNDREDS_OF_GATEWAYS,
+];
+
+const ROLLING_RESTART: Rollout = Rollout {
+    kind: RolloutKind::Restart,
+    part: 0.3,
+    interval_ms: 500.0,
+    burst: false,
+};
+const HALF_AT_ONCE: Rollout = Rollout {
+    kind: RolloutKind::Restart,
+    part: 0.5,
+    interval_ms: 0.0,
+    burst: false,
+};
+const NEARLY_ALL_REPLACED: Rollout = Rollout {
+    kind: RolloutKind::Replacement,
+    part: 0.9,
+    interval_ms: 0.0,
+    burst: false,
+};
+
+/// The share of an even part of the traffic that new endpoints get over their warm-up.
+#[derive(Debug)]
+struct Ramp {
+    just_started: f64,
+    half_warm: f64,
+    warm: f64,
+}
+
+impl Ramp {
+    fn rises(&self) -> bool {
+        0.02 < self.just_started
+            && self.just_started < self.half_warm
+            && self.half_warm < self.warm
+            && 0.15 < self.half_warm
+            && 0.6 < self.warm
+    }
+}
+
+/// What a simulated rollout came to.
+struct Measurements {
+    /// The most that a window held at a new endpoint, as a part of what it tolerates.
+    worst_overload: f64,
+    failed_endpoints: usize,
+    ramp: Ramp,
+    /// What was served during the warm-up, as a part of what all endpoints could do.
+    served: f64,
+}
+
+impl Measurements {
+    fn of(fleet: &SlowStartFleet) -> Self {
+        let overloads: Vec<f64> = new_endpoints(fleet)
+            .map(SimulatedEndpoint::worst_overload)
+            .collect();
+        Measurements {
+            failed_endpoints: overloads.iter().filter(|part| **part > 1.0).count(),
+            worst_overload: overloads.into_iter().fold(0.0, f64::max),
+            ramp: Ramp {
+                just_started: share_of_traffic(fleet, 0.0..4000.0),
+                half_warm: share_of_traffic(fleet, 6000.0..10_000.0),
+                warm: share_of_traffic(fleet, WARMUP_MS..RUN_AFTER_START_MS),
+            },
+            served: served_during_warmup(fleet),
+        }
+    }
+
+    fn meet_expectations(&self, size: &FleetSize) -> bool {
+        self.worst_overload <= 1.0 && self.ramp.rises() && self.served >= size.min_served
+    }
+}
+
+impl fmt::Display for Measurements {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ramp = &self.ramp;
+        write!(
+            f,
+            "{:.2} of the tolerated work, {} endpoints failed, ramp {:.2} {:.2} {:.2}, served {:.2}",
+            self.worst_overload,
+            self.failed_endpoints,
+            ramp.just_started,
+            ramp.half_warm,
+            ramp.warm,
+            self.served
+        )
+    }
+}
+
+fn new_endpoints(fleet: &SlowStartFleet) -> impl Iterator<Item = &SimulatedEndpoint> {
+    fleet.endpoints.iter().filter(|e| e.has_restarted())
+}
+
+fn offered_work(fleet: &SlowStartFleet, time_ms: Range<f64>) -> f64 {
+    fleet
+        .requests
+        .iter()
+        .filter(|request| time_ms.contains(&request.arrived_at_ms))
+        .map(|request| request.work)
+        .sum()
+}
+
+/// What new endpoints got of an even part of the traffic in this time after their starts.
+fn share_of_traffic(fleet: &SlowStartFleet, after_start_ms: Range<f64>) -> f64 {
+    let running = fleet.endpoints.iter().filter(|e| e.accepts_connections);
+    let time_of = |endpoint: &SimulatedEndpoint| {
+        let started_at_ms = endpoint.started_at_ms;
+        started_at_ms + after_start_ms.start..started_at_ms + after_start_ms.end
+    };
+    let received: f64 = new_endpoints(fleet)
+        .map(|endpoint| {
+            let time_ms = time_of(endpoint);
+            endpoint.work_between(time_ms.start, time_ms.end)
+        })
+        .sum();
+    let offered: f64 = new_endpoints(fleet)
+        .map(|endpoint| offered_work(fleet, time_of(endpoint)))
+        .sum();
+    received * running.count() as f64 / offered
+}
+
+fn served_during_warmup(fleet: &SlowStartFleet) -> f64 {
+    let (mut possible, mut served) = (0.0, 0.0);
+    for second in 0..(WARMUP_MS / 1000.0) as u32 {
+        let start_ms = FIRST_START_MS + 1000.0 * f64::from(second);
+        let time_ms = start_ms..FIRST_START_MS + 1000.0 * f64::from(second + 1);
+        let capacity: f64 = fleet
+            .endpoints
+            .iter()
+            .filter(|e| e.accepts_connections && e.started_at_ms <= start_ms)
+            .map(|e| e.capacity * e.warmth(start_ms))
+            .sum();
+        possible += capacity.min(offered_work(fleet, time_ms.clone()));
+        served += fleet
+            .requests
+            .iter()
+            .filter(|request| request.served && time_ms.contains(&request.arrived_at_ms))
+            .map(|request| request.work)
+            .sum::<f64>();
+    }
+    served / possible
+}
+
+/// Runs the rollout with all sizes and seeds before it judges: how many fail says more than that one does.
+fn assert_endpoints_warm_up_without_overload(sizes: &[FleetSize], rollout: Rollout) {
+    let mut failures = Vec::new();
+    for size in sizes {
+        for seed in 1..=SEEDS {
+            let fleet = SlowStartFleet::new(*size, rollout, seed).run();
+            let measurements = Measurements::of(&fleet);
+            let line = format!("{} gateways, seed {seed}: {measurements}", size.gateways);
+            println!("{line}");
+            if !measurements.meet_expectations(size) {
+                failures.push(format!("{line}, expected at least {}", size.min_served));
+            }
+        }
+    }
+    assert!(
+        failures.is_empty(),
+        "expected no overload, a rising ramp and enough served under {rollout:?}, got\n{}",
+        failures.join("\n")
+    );
+}
+
+#[test]
+fn rolling_restart_does_not_overload_new_endpoints() {
+    assert_endpoints_warm_up_without_overload(&ALL_SIZES, ROLLING_RESTART);
+}
+
+#[test]
+fn rolling_restart_during_a_burst_does_not_overload_new_endpoints() {
+    let rollout = Rollout {
+        burst: true,
+        ..ROLLING_RESTART
+    };
+    assert_endpoints_warm_up_without_overload(&ALL_SIZES, rollout);
+}
+
+#[test]
+fn restart_of_half_the_endpoints_at_once_does_not_overload_them() {
+    assert_endpoints_warm_up_without_overload(&ALL_SIZES, HALF_AT_ONCE);
+}
+
+#[test]
+fn replacement_of_half_the_endpoints_at_once_during_a_burst_does_not_overload_new_ones() {
+    let rollout = Rollout {
+        kind: RolloutKind::Replacement,
+        burst: true,
+        ..HALF_AT_ONCE
+    };
+    assert_endpoints_warm_up_without_overload(&ALL_SIZES, rollout);
+}
+
+#[test]
+fn replacement_of_nearly_all_endpoints_at_once_does_not_overload_new_ones() {
+    assert_endpoints_warm_up_without_overload(&ALL_SIZES, NEARLY_ALL_REPLACED);
+}
+
+#[test]
+fn replacement_of_nearly_all_endpoints_during_a_burst_by_few_gateways_does_not_overload_new_ones() {
+    let rollout = Rollout {
+        burst: true,
+        ..NEARLY_ALL_REPLACED
+    };
+    assert_endpoints_warm_up_without_overload(&[TWO_GATEWAYS, TWENTY_GATEWAYS], rollout);
+}
+
+#[test]
+fn replacement_of_nearly_all_endpoints_during_a_burst_by_many_gateways_does_not_overload_new_ones()
+{
+    let rollout = Rollout {
+        burst: true,
+        ..NEARLY_ALL_REPLACED
+    };
+    assert_endpoints_warm_up_without_overload(&[THIRTY_GATEWAYS, HUNDREDS_OF_GATEWAYS], rollout);
+}
--- /dev/null
+++ b/tests/decisions/support/gateway.rs
@@ -0,0 +1,121 @@
+//! A gateway under test: a decision engine with a list of endpoints.
+
+use super::actions::Actions;
+use super::requests::{TestRequest, success};
+use marlshelf::{
+    Action, AttemptOutcome, DecisionEngine, Endpoint, EndpointListKind, EndpointState, Event,
+    Settings,
+};
+
+/// The seed of engines in tests that hold for any seed.
+const SEED: u64 = 11;
+
+pub struct TestGateway {
+    engine: DecisionEngine,
+}
+
+/// An endpoint of the usual size that has long been ready. The cell has the number of the zone.
+pub fn endpoint(name: &str, zone: u32) -> Endpoint {
+    Endpoint {
+        name: name.into(),
+        zone,
+        cell: zone,
+        hardware: 0,
+        weight: 1.0,
+        state: EndpointState::Ready,
+        started_at_ms: 0.0,
+    }
+}
+
+/// Endpoints a and b in zone 0 and c in zone 1.
+pub fn default_endpoints() -> Vec<Endpoint> {
+    vec![endpoint("a", 0), endpoint("b", 0), endpoint("c", 1)]
+}
+
+/// So many endpoints of zone 0, named `s00`, `s01` and so on.
+pub fn endpoints_of_one_zone(count: usize) -> Vec<Endpoint> {
+    (0..count)
+        .map(|index| endpoint(&format!("s{index:02}"), 0))
+        .collect()
+}
+
+impl TestGateway {
+    /// A gateway with the default endpoints.
+    pub fn new(settings: Settings) -> Self {
+        Self::with_endpoints(settings, SEED, default_endpoints())
+    }
+
+    /// A gateway that knows these endpoints from time 0 on.
+    pub fn with_endpoints(settings: Settings, seed: u64, endpoints: Vec<Endpoint>) -> Self {
+        let mut gateway = Self::without_endpoints(settings, seed);
+        gateway.replace_endpoints(0.0, endpoints);
+        gateway
+    }
+
+    /// A gateway that has not received any endpoint list.
+    pub fn without_endpoints(settings: Settings, seed: u64) -> Self {
+        let engine = DecisionEngine::new(settings, seed).expect("the settings are valid");
+        TestGateway { engine }
+    }
+
+    pub fn handle(&mut self, now_ms: f64, event: Event) -> Vec<Action> {
+        self.engine.handle_event(now_ms, event)
+    }
+
+    /// Discovery sends the full list.
+    pub fn replace_endpoints(&mut self, now_ms: f64, endpoints: Vec<Endpoint>) -> Vec<Action> {
+        let kind = EndpointListKind::Snapshot;
+        self.handle(now_ms, Event::EndpointsChanged { kind, endpoints })
+    }
+
+    /// Discovery sends a change of one endpoint.
+    pub fn update_endpoint(&mut self, now_ms: f64, endpoint: Endpoint) -> Vec<Action> {
+        let kind = EndpointListKind::Delta;
+        let endpoints = vec![endpoint];
+        self.handle(now_ms, Event::EndpointsChanged { kind, endpoints })
+    }
+
+    pub fn receive(&mut self, request: TestRequest) -> Vec<Action> {
+        self.handle(request.received_at_ms, request.event())
+    }
+
+    pub fn finish(&mut self, now_ms: f64, outcome: AttemptOutcome) -> Vec<Action> {
+        self.handle(now_ms, Event::AttemptFinished(outcome))
+    }
+
+    pub fn disconnect_client(&mut self, now_ms: f64, request: u64) -> Vec<Action> {
+        self.handle(now_ms, Event::ClientDisconnected { request })
+    }
+
+    pub fn fire_timer(&mut self, now_ms: f64, token: u64) -> Vec<Action> {
+        self.handle(now_ms, Event::TimerFired { token })
+    }
+
+    pub fn receive_gossip(&mut self, now_ms: f64, from: u32, text: &str) -> Vec<Action> {
+        let text = text.to_string();
+        self.handle(now_ms, Event::GossipReceived { from, text })
+    }
+
+    /// Receives a request and, if it is forwarded, answers it after a millisecond. Returns whether it was.
+    pub fn serve(&mut self, request: TestRequest) -> bool {
+        self.serve_within(1.0, request).is_some()
+    }
+
+    /// Receives a request and, if it is forwarded, answers it after `latency_ms`. Returns the endpoint.
+    pub fn serve_within(&mut self, latency_ms: f64, request: TestRequest) -> Option<String> {
+        let id = request.request.id;
+        let answered_at_ms = request.received_at_ms + latency_ms;
+        let endpoint = self.receive(request).forwarded_to()?;
+        self.finish(answered_at_ms, success(id, &endpoint, latency_ms));
+        Some(endpoint)
+    }
+
+    /// How many requests with these ids are served, where `request_of` makes each.
+    pub fn count_served(
+        &mut self,
+        ids: std::ops::Range<u64>,
+        request_of: impl Fn(u64) -> TestRequest,
+    ) -> usize {
+        ids.filter(|id| self.serve(request_of(*id))).count()
+    }
+}
--- /dev/null
+++ b/tests/decisions/support/requests.rs
@@ -0,0 +1,104 @@
+//! Requests of clients, and outcomes of the attempts made for them.
+
+use super::settings::{AMPLE_QUOTA, IDEMPOTENT};
+use marlshelf::{AttemptOutcome, AttemptResult, Event, Request};
+
+/// A request and the time at which a gateway receives it.
+#[derive(Clone)]
+pub struct TestRequest {
+    pub received_at_ms: f64,
+    pub request: Request,
+}
+
+/// A request of one token that can wait two seconds. Its tenant's shard is gateways 0 and 1.
+pub fn request(id: u64, received_at_ms: f64) -> TestRequest {
+    TestRequest {
+        received_at_ms,
+        request: Request {
+            id,
+            tenant: "acme".into(),
+            class: IDEMPOTENT,
+            plan: AMPLE_QUOTA,
+            cost: 1.0,
+            shard_start: 0,
+            shard_size: 2,
+            client_deadline_ms: received_at_ms + 2000.0,
+            is_retry: false,
+        },
+    }
+}
+
+impl TestRequest {
+    /// Another time of arrival. The client deadline stays.
+    pub fn received_at_ms(mut self, received_at_ms: f64) -> Self {
+        self.received_at_ms = received_at_ms;
+        self
+    }
+
+    pub fn class(mut self, class: usize) -> Self {
+        self.request.class = class;
+        self
+    }
+
+    pub fn plan(mut self, plan: usize) -> Self {
+        self.request.plan = plan;
+        self
+    }
+
+    pub fn tenant(mut self, tenant: &str) -> Self {
+        self.request.tenant = tenant.into();
+        self
+    }
+
+    pub fn cost(mut self, tokens: f64) -> Self {
+        self.request.cost = tokens;
+        self
+    }
+
+    /// The tenant's shard is as many gateways from the first on.
+    pub fn shard_size(mut self, gateways: u32) -> Self {
+        self.request.shard_size = gateways;
+        self
+    }
+
+    /// The tenant's shard is one gateway, which then owns its quota.
+    pub fn owned_by(mut self, gateway: u32) -> Self {
+        self.request.shard_start = gateway;
+        self.request.shard_size = 1;
+        self
+    }
+
+    pub fn client_deadline_ms(mut self, deadline_ms: f64) -> Self {
+        self.request.client_deadline_ms = deadline_ms;
+        self
+    }
+
+    pub fn event(self) -> Event {
+        Event::RequestReceived(self.request)
+    }
+}
+
+/// The outcome of a request's first attempt. A success ends the request, any other result may be retried.
+pub fn outcome(
+    request: u64,
+    endpoint: &str,
+    result: AttemptResult,
+    latency_ms: f64,
+) -> AttemptOutcome {
+    AttemptOutcome {
+        request,
+        attempt: 0,
+        endpoint: endpoint.into(),
+        result,
+        latency_ms,
+        request_ended: result == AttemptResult::Success,
+        metered_use: None,
+        actual_cost: None,
+        load_report: None,
+    }
+}
+
+/// The outcome of a request's first attempt that was answered.
+pub fn success(request: u64, endpoint: &str, latency_ms: f64) -> AttemptOutcome {
+    outcome(request, endpoint, AttemptResult::Success, latency_ms)
+}
--- /dev/null
+++ b/tests/decisions/support/settings.rs
@@ -0,0 +1,140 @@
+//! Settings for gateways under test.
+
+use super::simulated_endpoint::{INITIAL_WARMTH, OVERLOAD_MULTIPLE, WARMUP_MS};
+use marlshelf::{DeduplicationScope, Idempotency, Plan, RequestClass, Settings};
+
+/// The class of `settings()` that may be retried without limit, of the lowest priority.
+pub const IDEMPOTENT: usize = 0;
+/// The class of `settings()` that must not be retried once it may have run, of the highest priority.
+pub const NON_IDEMPOTENT: usize = 1;
+/// The class of `settings()` whose retries the endpoints of one zone deduplicate for two seconds.
+pub const KEYED: usize = 2;
+
+/// The plan of `settings()` whose quota no test exhausts.
+pub const AMPLE_QUOTA: usize = 0;
+/// The plan of `settings()` with a bucket of 4 tokens that refills at 2 a second.
+pub const SMALL_QUOTA: usize = 1;
+/// The plan of `settings()` that allows two attempts in flight.
+pub const TWO_PERMITS: usize = 2;
+/// The plan of `settings()` with an ample quota under a hard limit of 4 tokens a second and a burst of 16.
+pub const HARD_LIMIT: usize = 3;
+
+/// A gateway that is alone, with one class of each idempotency and one plan of each kind of limit.
+pub fn settings() -> Settings {
+    Settings {
+        gateway_count: 1,
+        classes: vec![
+            class(Idempotency::Idempotent, 1.0),
+            class(Idempotency::NonIdempotent, 9.0),
+            class(Idempotency::Keyed(DeduplicationScope::Zone), 3.0),
+        ],
+        plans: plans(),
+        max_attempts: 3,
+        gossip_enabled: true,
+        gossip_intake_per_second: 50.0,
+        initial_warmth: 0.2,
+        warmup_ms: 10_000.0,
+        ..Settings::default()
+    }
+}
+
+/// `settings()` for the first gateway of a fleet.
+pub fn fleet_settings(gateway_count: u32) -> Settings {
+    Settings {
+        gateway_count,
+        ..settings()
+    }
+}
+
+/// `settings()` without gossip.
+pub fn settings_without_gossip() -> Settings {
+    Settings {
+        gossip_enabled: false,
+        ..settings()
+    }
+}
+
+/// A plan with nothing but a token bucket, where forwarding over quota costs the whole value.
+pub fn quota_plan(refill_rate: f64, burst: f64) -> Plan {
+    Plan {
+        refill_rate,
+        burst,
+        weight: 1.0,
+        over_quota_penalty: 1.0,
+        ..Plan::default()
+    }
+}
+
+fn class(idempotency: Idempotency, priority_weight: f64) -> RequestClass {
+    RequestClass {
+        priority_weight,
+        latency_objective_ms: 800.0,
+        late_answer_weight: 0.0,
+        idempotency,
+        deduplication_window_ms: 2000.0,
+    }
+}
+
+/// The plans in the order of their constants.
+fn plans() -> Vec<Plan> {
+    let ample = Plan {
+        refill_rate: 1000.0,
+        burst: 1000.0,
+        weight: 1.0,
+        over_quota_penalty: 0.5,
+        ..Plan::default()
+    };
+    let small = Plan {
+        refill_rate: 2.0,
+        burst: 4.0,
+        ..ample.clone()
+    };
+    let two_permits = Plan {
+        max_concurrency: 2,
+        weight: 1.0,
+        over_quota_penalty: 1.0,
+        ..Plan::default()
+    };
+    let hard_limit = Plan {
+        over_quota_penalty: 0.0,
+        hard_limit_rate: 4.0,
+        hard_limit_burst: 16.0,
+        hard_limit_slack: 2.0,
+        ..ample.clone()
+    };
+    vec![ample, small, two_permits, hard_limit]
+}
+
+/// Two classes without quotas, and the warm-up of simulated endpoints.
+pub fn slow_start_settings(gateway_count: u32) -> Settings {
+    let idempotent = RequestClass {
+        priority_weight: 2.0,
+        latency_objective_ms: 2500.0,
+        late_answer_weight: 0.2,
+        idempotency: Idempotency::Idempotent,
+        deduplication_window_ms: 0.0,
+    };
+    let non_idempotent = RequestClass {
+        priority_weight: 5.0,
+        latency_objective_ms: 1200.0,
+        late_answer_weight: 0.0,
+        idempotency: Idempotency::NonIdempotent,
+        deduplication_window_ms: 0.0,
+    };
+    let without_quota = Plan {
+        weight: 1.0,
+        ..Plan::default()
+    };
+    Settings {
+        gateway_count,
+        classes: vec![idempotent, non_idempotent],
+        plans: vec![without_quota],
+        max_attempts: 3,
+        gossip_enabled: true,
+        gossip_intake_per_second: 60.0,
+        initial_warmth: INITIAL_WARMTH,
+        warmup_ms: WARMUP_MS,
+        warmup_overload_multiple: OVERLOAD_MULTIPLE,
+        ..Settings::default()
+    }
+}
