Split the client side of the gateway into modules that know nothing of the event loop

client_connections.rs held the listener, the table, the connection, its responses and the request parser in one file, and imported the event loop that imported it. It is now clients/, one job a file, which reports to whoever implements ClientEventHandler; client_events.rs connects it to the event loop. The flags of a connection are enums (lifecycle, input, write state), request and protocol errors are enums whose text is the wire text. resp.rs is split the same way and its Command borrows the bytes it was parsed from. The wire, the limits and the times are those of before. tests/gateway/clients.rs drives the connections with a stand-in handler: the 4 cases of before and 13 more; resp.rs 5 -> 12 cases, budget.rs 1 -> 4.

--- /dev/null
+++ b/src/gateway/clients/fields.rs
@@ -0,0 +1,157 @@
+//! Parsing of the key-value fields of a request.
+
+use super::request_error::{Field, RequestError};
+use super::schema::RequestSchema;
+use std::ops::Range;
+
+/// The longest deadline that a client may set, in milliseconds.
+const MAX_DEADLINE_MS: f64 = 60_000.0;
+
+/// The client's deadline, and where its digits lie in the fields.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Deadline {
+    pub(super) ms: f64,
+    pub(super) digits: Range<usize>,
+}
+
+/// The fields that have been read so far. Fields with other names are ignored.
+#[derive(Debug, Default)]
+pub(super) struct RequestFields {
+    class: Option<usize>,
+    plan: Option<usize>,
+    deadline: Option<Deadline>,
+    cost: Option<f64>,
+    shard_start: Option<u32>,
+    shard_size: Option<u32>,
+    /// Whether an idempotency key is given.
+    pub(super) has_key: bool,
+    /// Whether the client marks the request as a retry.
+    pub(super) is_retry: bool,
+}
+
+impl RequestFields {
+    /// Parses a list of `name=value` pairs with commas between them.
+    pub(super) fn parse(text: &str, schema: &RequestSchema) -> Result<RequestFields, RequestError> {
+        let mut fields = RequestFields::default();
+        let mut start = 0;
+        for field in text.split(',') {
+            let (name, value) = field.split_once('=').ok_or(RequestError::InvalidFields)?;
+            let end = start + field.len();
+            let value_range = end - value.len()..end;
+            fields.set(name, value, value_range, schema)?;
+            start = end + 1;
+        }
+        Ok(fields)
+    }
+
+    /// Validates a value before it is checked whether the field is repeated.
+    fn set(
+        &mut self,
+        name: &str,
+        value: &str,
+        value_range: Range<usize>,
+        schema: &RequestSchema,
+    ) -> Result<(), RequestError> {
+        match name {
+            "c" => set_once(&mut self.class, schema.class_index(value), Field::Class),
+            "t" => set_once(&mut self.plan, schema.plan_index(value), Field::Plan),
+            "d" => {
+                let deadline = parse_deadline(value, value_range);
+                set_once(&mut self.deadline, deadline, Field::Deadline)
+            }
+            "units" => {
+                let cost = parse_cost(value, schema.max_cost());
+                set_once(&mut self.cost, cost, Field::Cost)
+            }
+            "first" => {
+                let gateway = parse_integer(value).filter(|index| *index < schema.gateway_count());
+                set_once(&mut self.shard_start, gateway, Field::ShardStart)
+            }
+            "spread" => {
+                let size =
+                    parse_integer(value).filter(|size| (1..=schema.gateway_count()).contains(size));
+                set_once(&mut self.shard_size, size, Field::ShardSize)
+            }
+            "k" => self.set_key(value),
+            "r" => {
+                self.is_retry = value == "1";
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn set_key(&mut self, key: &str) -> Result<(), RequestError> {
+        if key.is_empty() {
+            return Err(RequestError::InvalidField(Field::IdempotencyKey));
+        }
+        if self.has_key {
+            return Err(RequestError::RepeatedField);
+        }
+        self.has_key = true;
+        Ok(())
+    }
+
+    /// The index of the class.
+    pub(super) fn class(&self) -> Result<usize, RequestError> {
+        required(self.class, Field::Class)
+    }
+
+    /// The index of the plan.
+    pub(super) fn plan(&self) -> Result<usize, RequestError> {
+        required(self.plan, Field::Plan)
+    }
+
+    /// The client's deadline.
+    pub(super) fn deadline(&self) -> Result<Deadline, RequestError> {
+        required(self.deadline.clone(), Field::Deadline)
+    }
+
+    /// The cost in tokens.
+    pub(super) fn cost(&self) -> Result<f64, RequestError> {
+        required(self.cost, Field::Cost)
+    }
+
+    /// The first gateway of the tenant's shard.
+    pub(super) fn shard_start(&self) -> Result<u32, RequestError> {
+        required(self.shard_start, Field::ShardStart)
+    }
+
+    /// The number of gateways in the tenant's shard.
+    pub(super) fn shard_size(&self) -> Result<u32, RequestError> {
+        required(self.shard_size, Field::ShardSize)
+    }
+}
+
+fn required<T>(value: Option<T>, field: Field) -> Result<T, RequestError> {
+    value.ok_or(RequestError::MissingField(field))
+}
+
+/// Stores the value of a field. `None` stands for an invalid value.
+fn set_once<T>(target: &mut Option<T>, value: Option<T>, field: Field) -> Result<(), RequestError> {
+    let value = value.ok_or(RequestError::InvalidField(field))?;
+    match target.replace(value) {
+        None => Ok(()),
+        Some(_) => Err(RequestError::RepeatedField),
+    }
+}
+
+fn parse_deadline(value: &str, digits: Range<usize>) -> Option<Deadline> {
+    let ms = f64::from(parse_integer(value)?);
+    (1.0..=MAX_DEADLINE_MS)
+        .contains(&ms)
+        .then_some(Deadline { ms, digits })
+}
+
+fn parse_cost(value: &str, max_cost: f64) -> Option<f64> {
+    let cost: f64 = value.parse().ok()?;
+    (cost > 0.0 && cost <= max_cost).then_some(cost)
+}
+
+/// Parses a number of digits alone: the standard parser would also accept a plus sign.
+fn parse_integer(value: &str) -> Option<u32> {
+    value
+        .parse()
+        .ok()
+        .filter(|_| value.as_bytes()[0].is_ascii_digit())
+}
--- /dev/null
+++ b/src/gateway/clients/schema.rs
@@ -0,0 +1,68 @@
+//! What a request is validated against.
+
+use crate::{IdempotencyDocument, SettingsDocument};
+
+/// The names and limits that the settings define for requests. Classes and plans are known by their index.
+#[derive(Debug)]
+pub struct RequestSchema {
+    classes: Vec<ClassSchema>,
+    plan_names: Vec<String>,
+    gateway_count: u32,
+    max_cost: f64,
+}
+
+/// What the settings define for the requests of a class.
+#[derive(Debug)]
+pub(super) struct ClassSchema {
+    name: String,
+    pub(super) idempotency: IdempotencyDocument,
+    /// No client of this class waits longer; `None` where the class sets no deadline.
+    pub(super) deadline_ms: Option<f64>,
+}
+
+impl RequestSchema {
+    /// Extracts the schema from the settings.
+    #[must_use]
+    pub fn new(document: &SettingsDocument) -> RequestSchema {
+        let classes = document
+            .classes
+            .iter()
+            .map(|class| ClassSchema {
+                name: class.name.clone(),
+                idempotency: class.idempotency,
+                deadline_ms: Some(class.deadline_ms).filter(|ms| *ms > 0.0),
+            })
+            .collect();
+        RequestSchema {
+            classes,
+            plan_names: document.plans.iter().map(|p| p.name.clone()).collect(),
+            gateway_count: document.gateway_count(),
+            max_cost: document.settings().largest_request_cost(),
+        }
+    }
+
+    /// The index of a class.
+    pub(super) fn class_index(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|class| class.name == name)
+    }
+
+    /// A class by its index.
+    pub(super) fn class(&self, index: usize) -> &ClassSchema {
+        &self.classes[index]
+    }
+
+    /// The index of a plan.
+    pub(super) fn plan_index(&self, name: &str) -> Option<usize> {
+        self.plan_names.iter().position(|plan| plan == name)
+    }
+
+    /// The number of gateways in the fleet.
+    pub(super) fn gateway_count(&self) -> u32 {
+        self.gateway_count
+    }
+
+    /// The largest cost that a request may have, in tokens.
+    pub(super) fn max_cost(&self) -> f64 {
+        self.max_cost
+    }
+}
--- a/src/gateway/endpoint_pool.rs
+++ b/src/gateway/endpoint_pool.rs
@@ -95,7 +95,7 @@
     }
 
     /// Gives what was wrong with the bytes, if that is why it ended.
-    async fn read(self: &Rc<EndpointConnection>, gateway: &GatewayHandle) -> Option<&'static str> {
+    async fn read(self: &Rc<EndpointConnection>, gateway: &GatewayHandle) -> Option<String> {
         let mut bytes: Vec<u8> = Vec::new();
         loop {
             self.stream.readable().await.ok()?;
@@ -108,10 +108,12 @@
             }
             self.busy.get()?;
             if !self.reading.set(bytes.capacity(), KEPT) {
-                return Some("no room for so long an answer now");
+                return Some("no room for so long an answer now".to_string());
             }
             match resp::reply(&bytes) {
-                Ok(None) if bytes.len() > ANSWER_MOST => return Some("an answer is too long"),
+                Ok(None) if bytes.len() > ANSWER_MOST => {
+                    return Some("an answer is too long".to_string());
+                }
                 Ok(None) => {}
                 Ok(Some((reply, len))) => {
                     // What follows belongs to no request: the next one must not be given it.
@@ -126,7 +128,7 @@
                         self.reading.set(0, 0);
                     }
                 }
-                Err(broken) => return Some(broken.0),
+                Err(broken) => return Some(broken.to_string()),
             }
         }
     }
--- a/src/gateway/event_loop.rs
+++ b/src/gateway/event_loop.rs
@@ -1,7 +1,7 @@
 //! The host of the module: events go in, its actions are carried out. Owns the requests in hand, their
 //! attempts and one queue of timers for all of them. It decides nothing: `crate::Control` does.
 
-use crate::gateway::client_connections::{ClientConnection, ClientRequest};
+use crate::gateway::clients::{ClientConnection, ClientRequest};
 use crate::gateway::configuration::Configuration;
 use crate::gateway::discovery::{EndpointUpdate, ListedEndpoint};
 use crate::gateway::endpoint_pool::{
@@ -335,21 +335,21 @@
 
     /// A request came in whole.
     pub(crate) fn request(&mut self, id: u64, ask: ClientRequest, client: Rc<ClientConnection>) {
-        let give_up = (self.now() + ask.wait - MARGIN_MS).min(self.ends);
+        let give_up = (self.now() + ask.wait_ms - MARGIN_MS).min(self.ends);
         let request = Request {
             id,
-            tenant: ask.customer.clone(),
+            tenant: ask.tenant.clone(),
             class: ask.class,
             plan: ask.plan,
-            cost: ask.units,
-            shard_start: ask.first,
-            shard_size: ask.spread,
+            cost: ask.cost,
+            shard_start: ask.shard_start,
+            shard_size: ask.shard_size,
             client_deadline_ms: give_up,
-            is_retry: ask.repeat,
+            is_retry: ask.is_retry,
         };
         self.requests_received += 1;
-        self.held += ask.command.len();
-        self.open.insert(ask.wire);
+        self.held += ask.command_len();
+        self.open.insert(ask.client_request_id);
         let client = Some(client);
         self.requests.insert(
             id,
@@ -432,11 +432,7 @@
     }
 
     /// A connection to a worker has ended, perhaps over bytes that are no answer.
-    pub(crate) fn worker_closed(
-        &mut self,
-        conn: &Rc<EndpointConnection>,
-        spoilt: Option<&'static str>,
-    ) {
+    pub(crate) fn worker_closed(&mut self, conn: &Rc<EndpointConnection>, spoilt: Option<String>) {
         self.workers.forget(conn);
         if let Some(what) = spoilt {
             // A line for each would be a flood of its own.
@@ -523,8 +519,8 @@
             .is_some_and(|r| r.client.is_none() && r.attempt.is_none())
             && let Some(r) = self.requests.remove(&id)
         {
-            self.held -= r.ask.command.len();
-            self.open.remove(&r.ask.wire);
+            self.held -= r.ask.command_len();
+            self.open.remove(&r.ask.client_request_id);
         }
     }
 
@@ -643,7 +639,7 @@
         let mut bytes = std::mem::take(&mut self.scratch);
         bytes.clear();
         r.ask
-            .write((attempt.not_past - now).max(1.0) as u64, &mut bytes);
+            .encode_for_endpoint((attempt.not_past - now).max(1.0) as u64, &mut bytes);
         let sent = match conn.stream.try_write(&bytes) {
             Ok(n) => n,
             Err(e) if e.kind() == ErrorKind::WouldBlock => 0,
--- a/src/gateway/memory_budget.rs
+++ b/src/gateway/memory_budget.rs
@@ -1,46 +1,49 @@
-//! Memory: bounds on what all connections of a kind hold together, since each alone may be within its own.
+//! A limit on the memory that all connections of a kind use together, in addition to the limit of each one.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// What may be held of one kind by all together.
+/// A limit in bytes that many [`MemoryReservation`]s share.
 #[derive(Clone)]
 pub struct MemoryBudget {
-    used: Rc<Cell<usize>>,
-    most: usize,
+    reserved: Rc<Cell<usize>>,
+    limit: usize,
 }
 
-/// What one holder has of it; given back when it goes.
+/// The part of a [`MemoryBudget`] that one connection uses. Dropping it releases the part.
 pub struct MemoryReservation {
     budget: MemoryBudget,
-    own: Cell<usize>,
+    reserved: Cell<usize>,
 }
 
 impl MemoryBudget {
-    /// So many bytes at the most.
-    pub fn new(most: usize) -> MemoryBudget {
+    /// Creates a budget of `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> MemoryBudget {
         MemoryBudget {
-            used: Rc::default(),
-            most,
+            reserved: Rc::default(),
+            limit,
         }
     }
 
-    /// What a new holder has of it: nothing yet.
+    /// Creates a reservation of 0 bytes.
+    #[must_use]
     pub fn reservation(&self) -> MemoryReservation {
         MemoryReservation {
             budget: self.clone(),
-            own: Cell::new(0),
+            reserved: Cell::new(0),
         }
     }
 }
 
 impl MemoryReservation {
-    /// Tells what is held now. False if all together are past the bound, and this one holds more than `free`,
-    /// which is left to everyone: then it is the one to give way.
-    pub fn set(&self, bytes: usize, free: usize) -> bool {
-        let used = &self.budget.used;
-        used.set(used.get() - self.own.replace(bytes) + bytes);
-        bytes <= free || used.get() <= self.budget.most
+    /// Changes the reservation to `bytes`, in any case. Returns false when the owner has to release memory: the
+    /// reservations together exceed the budget and this one exceeds `always_allowed`, which every owner may use.
+    pub fn set(&self, bytes: usize, always_allowed: usize) -> bool {
+        let total = &self.budget.reserved;
+        let previous = self.reserved.replace(bytes);
+        total.set(total.get() - previous + bytes);
+        bytes <= always_allowed || total.get() <= self.budget.limit
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 
 pub mod backoff;
 pub mod bind;
-pub mod client_connections;
+mod client_events;
+pub mod clients;
 pub mod configuration;
 pub mod discovery;
 mod endpoint_pool;
@@ -13,7 +14,7 @@
 pub mod resp;
 
 use backoff::Backoff;
-use client_connections::ClientConnections;
+use clients::{ClientConnections, ClientListener, RequestSchema};
 use configuration::Configuration;
 use discovery::Tcp;
 use event_loop::Gateway;
@@ -84,6 +85,7 @@
         config.sockets * CLIENT_PART / 100,
         config.memory_per_purpose(),
     );
+    let schema = RequestSchema::new(&config.document);
     let backoff = Backoff::new(&config.document, config.seed ^ DISCOVERY_LOTS);
     let places = config.sockets * WORKER_PART / 100;
     let gateway = Gateway::new(config, peers.clone(), places).map_err(|e| e.to_string())?;
@@ -95,6 +97,7 @@
     if let Some(list) = known {
         gateway.borrow_mut().endpoints_changed(list);
     }
+    let client_listener = ClientListener::new(clients.clone(), gateway.clone(), schema);
     let news = Rc::new(Notify::new());
     gateway.borrow_mut().first_list = news.clone();
     let keeps = peers.is_some();
@@ -127,7 +130,7 @@
             let _ = timeout(FIRST_LIST, news.notified()).await;
         }
         eprintln!("marlshelf-gateway: {name} serves at {listen}");
-        clients.clone().accept(&listener, gateway.clone()).await;
+        client_listener.accept(&listener).await;
     };
     tokio::select! {
         () = serve => {}
@@ -142,10 +145,10 @@
         .mul_f64(ENDING_PART);
     let ends = Instant::now() + most;
     gateway.borrow_mut().shut_down_within(most);
-    let _ = timeout(FAREWELL, clients.clone().accept(&listener, gateway.clone())).await;
+    let _ = timeout(FAREWELL, client_listener.accept(&listener)).await;
     eprintln!("marlshelf-gateway: {name} lets nobody new in");
     clients.close_soon();
-    let _ = timeout_at(ends, clients.clone().drain_backlog(listener, &gateway)).await;
+    let _ = timeout_at(ends, client_listener.drain_backlog(listener)).await;
     while !clients.is_empty() {
         clients.connection_closed().await;
     }
--- /dev/null
+++ b/src/gateway/resp/encode.rs
@@ -0,0 +1,33 @@
+//! Encoding of bulk strings and numbers.
+
+/// The decimal digits of the largest `u64`.
+const MAX_U64_DIGITS: usize = 20;
+
+/// Appends a bulk string.
+pub fn put_bulk(out: &mut Vec<u8>, value: &[u8]) {
+    put_number(out, b'$', value.len());
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends a line with a type byte and a number.
+pub fn put_number(out: &mut Vec<u8>, type_byte: u8, number: usize) {
+    out.push(type_byte);
+    put_digits(out, number as u64);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends the decimal digits of a number.
+pub fn put_digits(out: &mut Vec<u8>, mut number: u64) {
+    let mut digits = [0u8; MAX_U64_DIGITS];
+    let mut first = digits.len();
+    loop {
+        first -= 1;
+        digits[first] = b'0' + (number % 10) as u8;
+        number /= 10;
+        if number == 0 {
+            break;
+        }
+    }
+    out.extend_from_slice(&digits[first..]);
+}
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -1,14 +1,48 @@
-//! Memory that many holders share.
+//! Memory budgets that many connections share.
 
 use marlshelf::gateway::memory_budget::MemoryBudget;
 
+const LIMIT: usize = 100;
+const ALWAYS_ALLOWED: usize = 20;
+
+#[test]
+fn large_reservation_is_told_to_release_when_the_budget_is_exceeded() {
+    let budget = MemoryBudget::new(LIMIT);
+    let (small, large) = (budget.reservation(), budget.reservation());
+    assert!(large.set(90, ALWAYS_ALLOWED));
+    assert!(
+        small.set(20, ALWAYS_ALLOWED),
+        "every owner may use a little"
+    );
+    assert!(!large.set(91, ALWAYS_ALLOWED));
+}
+
+#[test]
+fn small_reservation_is_told_to_release_only_beyond_what_is_always_allowed() {
+    let budget = MemoryBudget::new(LIMIT);
+    let (small, large) = (budget.reservation(), budget.reservation());
+    assert!(large.set(100, ALWAYS_ALLOWED));
+    assert!(small.set(20, ALWAYS_ALLOWED));
+    assert!(!small.set(21, ALWAYS_ALLOWED));
+}
+
 #[test]
-fn who_holds_much_gives_way_and_gives_all_back() {
-    let budget = MemoryBudget::new(100);
+fn dropped_reservation_returns_to_the_budget() {
+    let budget = MemoryBudget::new(LIMIT);
     let (small, large) = (budget.reservation(), budget.reservation());
-    assert!(large.set(90, 20));
-    assert!(small.set(20, 20), "a little is left to everyone");
-    assert!(!large.set(91, 20));
+    assert!(large.set(90, ALWAYS_ALLOWED));
+    assert!(small.set(20, ALWAYS_ALLOWED));
+    assert!(!large.set(91, ALWAYS_ALLOWED));
     drop(large);
-    assert!(small.set(80, 20));
+    assert!(small.set(80, ALWAYS_ALLOWED));
+}
+
+#[test]
+fn reduced_reservation_returns_to_the_budget() {
+    let budget = MemoryBudget::new(LIMIT);
+    let (first, second) = (budget.reservation(), budget.reservation());
+    assert!(first.set(90, ALWAYS_ALLOWED));
+    assert!(!second.set(30, ALWAYS_ALLOWED));
+    assert!(first.set(70, ALWAYS_ALLOWED));
+    assert!(second.set(30, ALWAYS_ALLOWED));
 }
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -1,86 +1,528 @@
-//! Clients, where the order of events has to be forced inside the process.
+//! Client connections before a stand-in handler, which answers when the test says so.
 
 use crate::support::*;
-use marlshelf::gateway::client_connections::{ClientConnections, REQUEST_TIMEOUT};
-use marlshelf::gateway::event_loop::Gateway;
+use marlshelf::gateway::clients::{
+    ClientConnection, ClientConnections, ClientEvent, ClientEventHandler, ClientListener,
+    ClientRequest, REQUEST_TIMEOUT, RequestSchema,
+};
+use marlshelf::gateway::resp;
+use marlshelf::{RequestId, SettingsDocument};
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{sleep, timeout};
 
-/// Two clients that have been answered once, and the table that they are in.
-async fn two_clients() -> (Rc<ClientConnections>, TcpStream, TcpStream) {
-    let door = TcpListener::bind(ANY).await.expect("a port");
-    let at = door.local_addr().expect("bound");
-    let gateway = Gateway::new(config(at), None, 8).expect("sound settings");
-    let clients = ClientConnections::new(8, 1 << 20);
-    let accepting = clients.clone();
-    spawn_local(async move { accepting.accept(&door, gateway).await });
-    (clients, answered(at).await, answered(at).await)
+const TENANT: &str = "00000000b4d65521";
+const VALID_FIELDS: &str = "c=read,t=p,d=900,units=1,spread=1,first=0";
+
+/// A request as the handler received it.
+struct Received {
+    id: RequestId,
+    request: ClientRequest,
+    connection: Rc<ClientConnection>,
+}
+
+/// Records requests and disconnects.
+#[derive(Default)]
+struct StubHandler {
+    last_id: Cell<RequestId>,
+    is_overloaded: Cell<bool>,
+    /// The answer to give while the event is handled.
+    immediate_answer: Cell<Option<&'static [u8]>>,
+    active_client_ids: RefCell<Vec<u64>>,
+    received: RefCell<Vec<Received>>,
+    disconnected: RefCell<Vec<RequestId>>,
+}
+
+impl ClientEventHandler for StubHandler {
+    fn next_id(&self) -> RequestId {
+        self.last_id.set(self.last_id.get() + 1);
+        self.last_id.get()
+    }
+
+    fn is_active(&self, client_request_id: u64) -> bool {
+        self.active_client_ids.borrow().contains(&client_request_id)
+    }
+
+    fn has_capacity_for(&self, _bytes: usize) -> bool {
+        !self.is_overloaded.get()
+    }
+
+    fn handle_client_event(&self, event: ClientEvent) {
+        match event {
+            ClientEvent::RequestReceived {
+                request: id,
+                command: request,
+                connection,
+            } => {
+                if let Some(answer) = self.immediate_answer.get() {
+                    connection.answer(id, answer);
+                }
+                self.received.borrow_mut().push(Received {
+                    id,
+                    request,
+                    connection,
+                });
+            }
+            ClientEvent::Disconnected { request } => self.disconnected.borrow_mut().push(request),
+        }
+    }
+}
+
+impl StubHandler {
+    /// Answers the request that was received at this index.
+    fn answer(&self, index: usize, response: &str) {
+        let received = self.received.borrow();
+        received[index]
+            .connection
+            .answer(received[index].id, response.as_bytes());
+    }
+
+    async fn wait_for_requests(&self, count: usize) {
+        wait_until(|| self.received.borrow().len() >= count).await;
+    }
+}
+
+/// A listener with its table of connections.
+struct Server {
+    address: SocketAddr,
+    connections: Rc<ClientConnections>,
+    handler: Rc<StubHandler>,
+}
+
+impl Server {
+    async fn start() -> Server {
+        let socket = TcpListener::bind(ANY).await.expect("a port");
+        let address = socket.local_addr().expect("bound");
+        let connections = ClientConnections::new(8, 1 << 20);
+        let handler = Rc::new(StubHandler::default());
+        let schema = RequestSchema::new(&settings());
+        let listener = ClientListener::new(connections.clone(), handler.clone(), schema);
+        spawn_local(async move { listener.accept(&socket).await });
+        Server {
+            address,
+            connections,
+            handler,
+        }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.expect("connected")
+    }
+
+    /// A client that has received the response to a first command.
+    async fn connect_and_ping(&self) -> TcpStream {
+        let mut client = self.connect().await;
+        assert_eq!(exchange(&mut client, PING).await, "+PONG");
+        client
+    }
+}
+
+fn settings() -> SettingsDocument {
+    serde_json::from_value(serde_json::json!({
+        "Balancers": 2,
+        "Classes": [
+            {"Name": "read", "Target": 500.0, "Effect": "repeatable", "Worth": 1.0, "Deadline": 800.0},
+            {"Name": "pay", "Target": 500.0, "Effect": "once", "Worth": 1.0},
+            {"Name": "order", "Target": 500.0, "Effect": "by_key", "Window": 900.0, "Worth": 1.0},
+        ],
+        "Plans": [{"Name": "p", "UnitsPerS": 10.0, "PeakUnits": 10.0, "ValueFactor": 1.0}],
+        "Domain": {"Largest": 4.0},
+    }))
+    .expect("valid settings")
+}
+
+fn command(parts: &[&str]) -> Vec<u8> {
+    let mut command = Vec::new();
+    resp::put_number(&mut command, b'*', parts.len());
+    for part in parts {
+        resp::put_bulk(&mut command, part.as_bytes());
+    }
+    command
+}
+
+/// A valid request with this client-chosen id.
+fn request(id: u64) -> Vec<u8> {
+    command(&["Q.ASK", TENANT, &format!("{id:016x}"), VALID_FIELDS])
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < LONG, "the condition is never met");
+        yield_now().await;
+    }
+}
+
+async fn send(client: &mut TcpStream, bytes: &[u8]) {
+    client.write_all(bytes).await.expect("written");
 }
 
-async fn answered(at: SocketAddr) -> TcpStream {
-    let mut client = TcpStream::connect(at).await.expect("connected");
-    client.write_all(PING).await.expect("written");
-    let mut answer = [0; 7];
-    client.read_exact(&mut answer).await.expect("answered");
-    client
+/// Reads a line without its terminator.
+async fn read_line(client: &mut TcpStream) -> String {
+    let mut line = Vec::new();
+    while !line.ends_with(b"\r\n") {
+        let byte = timeout(LONG, client.read_u8()).await.expect("a response");
+        line.push(byte.expect("the connection is open"));
+    }
+    line.truncate(line.len() - 2);
+    String::from_utf8(line).expect("text")
 }
 
+async fn exchange(client: &mut TcpStream, bytes: &[u8]) -> String {
+    send(client, bytes).await;
+    read_line(client).await
+}
+
+// Closing and timeouts, against input that the runtime has not seen yet.
+
 #[test]
-fn a_request_that_has_come_as_its_connection_is_closed_is_answered() {
+fn command_that_arrived_before_its_connection_is_closed_is_answered() {
     play(async {
-        let (clients, client, _) = two_clients().await;
+        let server = Server::start().await;
+        let client = server.connect_and_ping().await;
         let mut client = unseen(client, PING);
-        clients.close_soon();
+        server.connections.close_soon();
         assert_eq!(rest(&mut client).await, "+PONG\r\n");
     });
 }
 
 #[test]
-fn a_command_of_which_a_part_has_come_by_the_end_is_answered() {
+fn partial_command_at_shutdown_is_completed_and_answered() {
     play(async {
-        let (clients, client, mut idle) = two_clients().await;
+        let server = Server::start().await;
+        let client = server.connect_and_ping().await;
+        let mut idle = server.connect_and_ping().await;
         let mut client = unseen(client, &PING[..9]);
-        clients.close_soon();
-        assert_eq!(rest(&mut idle).await, "", "who has said nothing is closed");
-        client.write_all(&PING[9..]).await.expect("still open");
+        server.connections.close_soon();
+        assert_eq!(rest(&mut idle).await, "", "an idle connection is closed");
+        send(&mut client, &PING[9..]).await;
         assert_eq!(rest(&mut client).await, "+PONG\r\n");
     });
 }
 
 #[test]
-fn a_command_that_has_come_as_its_time_to_speak_is_up_is_answered() {
+fn command_that_arrived_before_the_request_timeout_is_answered() {
     play(async {
-        let door = TcpListener::bind(ANY).await.expect("a port");
-        let at = door.local_addr().expect("bound");
-        let gateway = Gateway::new(config(at), None, 8).expect("sound settings");
-        let clients = ClientConnections::new(8, 1 << 20);
-        let accepting = clients.clone();
-        tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
-        let client = TcpStream::connect(at).await.expect("connected");
-        while clients.is_empty() {
-            tokio::task::yield_now().await;
-        }
+        let server = Server::start().await;
+        let client = server.connect().await;
+        wait_until(|| !server.connections.is_empty()).await;
         let mut client = unseen(client, PING);
-        clients.expire(Instant::now() + 2 * REQUEST_TIMEOUT);
-        clients.close_soon();
+        server
+            .connections
+            .expire(Instant::now() + REQUEST_TIMEOUT * 2);
+        server.connections.close_soon();
         assert_eq!(rest(&mut client).await, "+PONG\r\n");
     });
 }
 
 #[test]
-fn an_end_that_the_runtime_has_not_seen_yet_is_known() {
+fn connection_without_a_whole_command_in_time_is_told_and_closed() {
+    play(async {
+        let server = Server::start().await;
+        let mut silent = server.connect().await;
+        let mut partial = server.connect_and_ping().await;
+        send(&mut partial, &PING[..9]).await;
+        let mut idle = server.connect_and_ping().await;
+        // More than once: a part of a command that is not read yet has not begun to arrive.
+        let connections = server.connections.clone();
+        spawn_local(async move {
+            loop {
+                connections.expire(Instant::now() + REQUEST_TIMEOUT * 2);
+                sleep(Duration::from_millis(5)).await;
+            }
+        });
+        let expected = "-ERR protocol error: no whole command in time\r\n";
+        assert_eq!(rest(&mut silent).await, expected);
+        assert_eq!(rest(&mut partial).await, expected);
+        assert_eq!(exchange(&mut idle, PING).await, "+PONG", "pauses are fine");
+    });
+}
+
+#[test]
+fn disconnect_that_the_runtime_has_not_seen_yet_is_known() {
+    play(async {
+        let server = Server::start().await;
+        let client = server.connect_and_ping().await;
+        let _other = server.connect_and_ping().await;
+        assert_eq!(server.connections.disconnected_count(), 0);
+        drop(client);
+        // The runtime does not run here, so only the socket itself can know.
+        let started = Instant::now();
+        while server.connections.disconnected_count() == 0 {
+            assert!(started.elapsed() < LONG, "only the runtime would see it");
+        }
+    });
+}
+
+#[test]
+fn protocol_error_is_reported_behind_earlier_responses_and_closes() {
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        send(
+            &mut client,
+            &[&request(1)[..], b"GET / HTTP/1.1\r\n\r\n"].concat(),
+        )
+        .await;
+        server.handler.wait_for_requests(1).await;
+        server.handler.answer(0, "$2\r\nhi\r\n");
+        assert_eq!(
+            rest(&mut client).await,
+            "$2\r\nhi\r\n-ERR protocol error: an unexpected type\r\n"
+        );
+    });
+}
+
+// Requests and responses.
+
+#[test]
+fn responses_leave_in_the_order_of_their_requests() {
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        let pipelined = [request(1), request(2), PING.to_vec(), request(3)].concat();
+        send(&mut client, &pipelined).await;
+        server.handler.wait_for_requests(3).await;
+        for (index, answer) in [(2, "+third\r\n"), (1, "+second\r\n"), (0, "+first\r\n")] {
+            server.handler.answer(index, answer);
+        }
+        for expected in ["+first", "+second", "+PONG", "+third"] {
+            assert_eq!(read_line(&mut client).await, expected);
+        }
+    });
+}
+
+#[test]
+fn answer_given_while_the_request_is_handled_is_written() {
+    play(async {
+        let server = Server::start().await;
+        server.handler.immediate_answer.set(Some(b"+now\r\n"));
+        let mut client = server.connect().await;
+        assert_eq!(exchange(&mut client, &request(1)).await, "+now");
+    });
+}
+
+#[test]
+fn second_answer_to_a_request_is_ignored() {
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        send(&mut client, &request(1)).await;
+        server.handler.wait_for_requests(1).await;
+        server.handler.answer(0, "+once\r\n");
+        server.handler.answer(0, "+twice\r\n");
+        assert_eq!(read_line(&mut client).await, "+once");
+        assert_eq!(exchange(&mut client, PING).await, "+PONG");
+    });
+}
+
+#[test]
+fn only_unanswered_requests_of_a_closed_connection_are_reported() {
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        send(&mut client, &[request(1), request(2), request(3)].concat()).await;
+        server.handler.wait_for_requests(3).await;
+        server.handler.answer(1, "+second\r\n");
+        drop(client);
+        wait_until(|| server.connections.is_empty()).await;
+        let received = server.handler.received.borrow();
+        assert_eq!(
+            *server.handler.disconnected.borrow(),
+            [received[0].id, received[2].id]
+        );
+    });
+}
+
+#[test]
+fn request_is_rejected_as_busy_when_the_handler_has_no_capacity() {
+    play(async {
+        let server = Server::start().await;
+        server.handler.is_overloaded.set(true);
+        let mut client = server.connect().await;
+        assert_eq!(exchange(&mut client, &request(1)).await, "-BUSY");
+        assert!(server.handler.received.borrow().is_empty());
+    });
+}
+
+#[test]
+fn request_with_an_active_id_is_rejected() {
+    play(async {
+        let server = Server::start().await;
+        server.handler.active_client_ids.borrow_mut().push(7);
+        let mut client = server.connect().await;
+        assert_eq!(
+            exchange(&mut client, &request(7)).await,
+            "-ERR this id is open already"
+        );
+    });
+}
+
+#[test]
+fn commands_other_than_requests_are_answered_by_the_connection() {
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        let cases = [
+            (command(&["ping"]), "+PONG\r\n"),
+            (command(&["PING", "echo"]), "$4\r\necho\r\n"),
+            (command(&["GET", "x"]), "-ERR unknown command\r\n"),
+            (command(&["q.ask", "x"]), "-ERR unknown command\r\n"),
+        ];
+        for (sent, expected) in cases {
+            send(&mut client, &sent).await;
+            let mut response = vec![0; expected.len()];
+            client.read_exact(&mut response).await.expect("answered");
+            assert_eq!(String::from_utf8_lossy(&response), expected);
+        }
+    });
+}
+
+#[test]
+fn invalid_request_is_answered_with_its_error_and_stays_connected() {
+    let ask = |tenant: &str, id: &str, fields: &str| command(&["Q.ASK", tenant, id, fields]);
+    let with_fields = |fields: &str| ask(TENANT, TENANT, fields);
+    let with_effect = |fields: &str| command(&["Q.DO", TENANT, TENANT, fields]);
+    let cases = [
+        (
+            command(&["Q.ASK", TENANT, TENANT]),
+            "wrong number of arguments",
+        ),
+        (
+            command(&["Q.ASK", TENANT, TENANT, VALID_FIELDS, "body", "more"]),
+            "wrong number of arguments",
+        ),
+        (ask("b4d65521", TENANT, VALID_FIELDS), "bad customer"),
+        (
+            ask("00000002b4d65521", TENANT, VALID_FIELDS),
+            "bad customer",
+        ),
+        (
+            ask("+0000000b4d65521", TENANT, VALID_FIELDS),
+            "bad customer",
+        ),
+        (ask(TENANT, "short", VALID_FIELDS), "bad id"),
+        (ask(TENANT, "zzzzzzzzzzzzzzzz", VALID_FIELDS), "bad id"),
+        (with_fields(""), "bad fields"),
+        (with_fields("c=read,nonsense"), "bad fields"),
+        (with_fields("c=none,t=p"), "bad c"),
+        (with_fields("c=read,t=none"), "bad t"),
+        (with_fields("d=0"), "bad d"),
+        (with_fields("d=-1"), "bad d"),
+        (with_fields("d=+1"), "bad d"),
+        (with_fields("d="), "bad d"),
+        (with_fields("d=1.5"), "bad d"),
+        (with_fields("d=60001"), "bad d"),
+        (with_fields("units=0"), "bad units"),
+        (with_fields("units=NaN"), "bad units"),
+        (with_fields("units=4.5"), "bad units"),
+        (with_fields("first=2"), "bad first"),
+        (with_fields("spread=0"), "bad spread"),
+        (with_fields("spread=3"), "bad spread"),
+        (with_fields("k="), "bad k"),
+        (with_fields("c=read,c=read"), "a field stands twice"),
+        (with_fields("d=9,d=9"), "a field stands twice"),
+        (with_fields("d=9,d=x"), "bad d"),
+        (with_fields("k=1,k=2"), "a field stands twice"),
+        (with_fields("t=p,d=9,units=1,spread=1,first=0"), "missing c"),
+        (
+            with_fields("c=read,d=9,units=1,spread=1,first=0"),
+            "missing t",
+        ),
+        (
+            with_fields("c=read,t=p,units=1,spread=1,first=0"),
+            "missing d",
+        ),
+        (
+            with_fields("c=read,t=p,d=9,spread=1,first=0"),
+            "missing units",
+        ),
+        (
+            with_fields("c=read,t=p,d=9,units=1,spread=1"),
+            "missing first",
+        ),
+        (
+            with_fields("c=read,t=p,d=9,units=1,first=0"),
+            "missing spread",
+        ),
+        (with_fields("c=read"), "missing d"),
+        (with_fields("c=pay"), "not the command of this class"),
+        (with_effect("c=read"), "not the command of this class"),
+        (with_effect("c=order"), "missing k"),
+        (with_effect("c=order,k=1"), "missing d"),
+    ];
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        for (sent, expected) in &cases {
+            assert_eq!(
+                exchange(&mut client, sent).await,
+                format!("-ERR {expected}"),
+                "{}",
+                String::from_utf8_lossy(sent)
+            );
+        }
+        assert_eq!(exchange(&mut client, PING).await, "+PONG");
+        assert!(server.handler.received.borrow().is_empty());
+    });
+}
+
+#[test]
+fn valid_request_is_handled_with_its_fields() {
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        let fields = "x=1,r=1,c=order,t=p,d=700,k=a,units=2.5,spread=2,first=1,r=0,r=1";
+        send(
+            &mut client,
+            &command(&["Q.DO", TENANT, "9B1F03AA5c7e2d41", fields, "body"]),
+        )
+        .await;
+        server.handler.wait_for_requests(1).await;
+        let received = server.handler.received.borrow();
+        let request = &received[0].request;
+        assert_eq!(&*request.tenant, TENANT);
+        assert_eq!(request.client_request_id, 0x9b1f_03aa_5c7e_2d41);
+        assert_eq!((request.class, request.plan), (2, 0));
+        assert_eq!((request.shard_start, request.shard_size), (1, 2));
+        assert_eq!((request.cost, request.wait_ms), (2.5, 700.0));
+        assert!(request.is_retry);
+    });
+}
+
+#[test]
+fn deadline_of_the_class_limits_how_long_a_client_waits() {
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        send(&mut client, &request(1)).await;
+        server.handler.wait_for_requests(1).await;
+        assert_eq!(server.handler.received.borrow()[0].request.wait_ms, 800.0);
+    });
+}
+
+#[test]
+fn request_is_encoded_for_an_endpoint_with_only_its_deadline_changed() {
+    let fields = |deadline| format!("c=order,t=p,d={deadline},k=a,units=1,spread=1,first=0");
+    let encoded = |deadline| command(&["Q.DO", TENANT, TENANT, &fields(deadline), "body\r\n"]);
     play(async {
-        let (clients, one, _other) = two_clients().await;
-        assert_eq!(clients.disconnected_count(), 0);
-        drop(one);
-        // No turn for the runtime: only the socket itself can know.
-        let begun = Instant::now();
-        while clients.disconnected_count() == 0 {
-            assert!(begun.elapsed() < LONG, "only the runtime would see it");
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        let sent = encoded(9000);
+        send(&mut client, &sent).await;
+        server.handler.wait_for_requests(1).await;
+        let received = server.handler.received.borrow();
+        let request = &received[0].request;
+        assert_eq!(request.command_len(), sent.len());
+        for deadline in [1, 87, 9000, 12_345] {
+            let mut out = Vec::new();
+            request.encode_for_endpoint(deadline, &mut out);
+            assert_eq!(out, encoded(deadline));
         }
     });
 }
--- a/tests/gateway/gateway.rs
+++ b/tests/gateway/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::support::*;
 use marlshelf::EndpointState;
-use marlshelf::gateway::client_connections::ClientConnections;
+use marlshelf::gateway::clients::{ClientConnections, ClientListener, RequestSchema};
 use marlshelf::gateway::discovery::{EndpointUpdate, ListedEndpoint};
 use marlshelf::gateway::event_loop::{Gateway, GatewayHandle};
 use marlshelf::gateway::resp;
@@ -58,8 +58,9 @@
     let door = TcpListener::bind(ANY).await.expect("a port");
     let at = door.local_addr().expect("bound");
     let clients = ClientConnections::new(8, 1 << 20);
-    let (accepting, gateway) = (clients.clone(), gateway.clone());
-    tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
+    let schema = RequestSchema::new(&config(at).document);
+    let listener = ClientListener::new(clients.clone(), gateway.clone(), schema);
+    tokio::task::spawn_local(async move { listener.accept(&door).await });
     let mut client = TcpStream::connect(at).await.expect("connected");
     client
         .write_all(&command(class, "9b1f03aa5c7e2d41", body))
--- a/tests/gateway/resp.rs
+++ b/tests/gateway/resp.rs
@@ -1,125 +1,211 @@
-//! RESP2: what is read and what is written.
+//! Parsing and encoding of RESP2.
 
-use marlshelf::gateway::resp::{Reply, command, put_bulk, put_digits, reply};
+use marlshelf::gateway::resp::{
+    MAX_COMMAND_LEN, MAX_VALUE_LEN, ProtocolError, Reply, parse_command, parse_reply, put_bulk,
+    put_digits, put_number,
+};
 
-const ASK: &[u8] = b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n";
+const COMMAND: &[u8] = b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n";
+const SERVED: &[u8] = b"*3\r\n$2\r\nhi\r\n$6\r\ncost=3\r\n$8\r\nutil=0.5\r\n";
+/// An array of three elements with the first one, which takes the bytes 4 to 12.
+const VALUE_ALONE: &[u8] = b"*3\r\n$2\r\nhi\r\n";
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// An array of bulk strings, each of so many bytes.
+fn command_with_parts(lengths: &[usize]) -> Vec<u8> {
+    let mut command = Vec::new();
+    put_number(&mut command, b'*', lengths.len());
+    for length in lengths {
+        put_bulk(&mut command, &vec![b'x'; *length]);
+    }
+    command
+}
+
+fn whole_reply(bytes: &[u8]) -> (Reply, usize) {
+    parse_reply(bytes).expect("valid").expect("whole")
+}
 
 #[test]
-fn a_command_is_read_only_when_whole() {
-    for cut in 0..ASK.len() {
-        assert_eq!(command(&ASK[..cut]), Ok(None), "{cut} bytes");
+fn command_is_parsed_only_when_whole() {
+    for length in 0..COMMAND.len() {
+        assert_eq!(
+            parse_command(&COMMAND[..length]),
+            Ok(None),
+            "{length} bytes"
+        );
     }
-    let read = command(ASK).expect("sound").expect("whole");
+    let command = parse_command(COMMAND).expect("valid").expect("whole");
+    assert_eq!(command.part_count(), 2);
+    assert_eq!(command.bytes(), COMMAND);
+    assert_eq!(command.part(0), b"PING");
+    assert_eq!(command.part_range(0), 8..12);
+    assert_eq!(command.part(1), b"");
+    assert_eq!(command.part(9), b"", "there is no such part");
+}
+
+#[test]
+fn parsed_command_ends_where_the_next_one_begins() {
+    let pipelined = [COMMAND, b"*1\r\n$4\r\nPI"].concat();
+    let command = parse_command(&pipelined).expect("valid").expect("whole");
+    assert_eq!(command.bytes(), COMMAND);
+}
+
+#[test]
+fn parts_beyond_the_kept_ones_are_counted() {
+    let bytes = command_with_parts(&[1, 1, 1, 1, 1, 1, 1]);
+    let command = parse_command(&bytes).expect("valid").expect("whole");
+    assert_eq!(command.part_count(), 7);
+    assert_eq!((command.part(4), command.part(5)), (&b"x"[..], &b""[..]));
+}
+
+#[test]
+fn malformed_command_is_an_error_as_soon_as_it_is_known() {
+    let long_line = [b"*".as_slice(), &[b'1'; 2000]].concat();
+    let too_long = command_with_parts(&[MAX_VALUE_LEN, MAX_COMMAND_LEN - MAX_VALUE_LEN]);
+    let cases: [(&[u8], ProtocolError); 16] = [
+        (b"GET / HTTP/1.1\r\n", ProtocolError::UnexpectedType),
+        (b"*0\r\n", ProtocolError::InvalidPartCount),
+        (b"*-1\r\n", ProtocolError::InvalidPartCount),
+        (b"*99\r\n", ProtocolError::InvalidPartCount),
+        (b"*9999999999\r\n", ProtocolError::InvalidPartCount),
+        (b"*-2\r\n", ProtocolError::InvalidLength),
+        (b"*\r\n", ProtocolError::InvalidLength),
+        (b"*+1\r\n", ProtocolError::InvalidLength),
+        (b"*1\r\n$-1\r\n", ProtocolError::NullPart),
+        (b"*1\r\n$65537\r\n", ProtocolError::ValueTooLong),
+        (b"*1\r\n$9999999999\r\n", ProtocolError::ValueTooLong),
+        (
+            b"*1\r\n$99999999999999999999\r\n",
+            ProtocolError::InvalidLength,
+        ),
+        (b"*1\r\n$2\r\nabcd", ProtocolError::MissingValueTerminator),
+        (b"*1\n$1\r\na\r\n", ProtocolError::MissingCarriageReturn),
+        (&long_line, ProtocolError::LineTooLong),
+        (&too_long, ProtocolError::CommandTooLong),
+    ];
+    for (bytes, error) in cases {
+        let shown = text(&bytes[..bytes.len().min(40)]);
+        assert_eq!(parse_command(bytes), Err(error), "{shown}");
+    }
+}
+
+#[test]
+fn command_that_exceeds_the_limit_is_an_error_before_it_is_whole() {
+    let whole = command_with_parts(&[MAX_VALUE_LEN, MAX_VALUE_LEN]);
+    assert_eq!(parse_command(&whole[..MAX_COMMAND_LEN]), Ok(None));
     assert_eq!(
-        (read.count, read.len, read.part(ASK, 0), read.part(ASK, 1)),
-        (2, ASK.len(), &b"PING"[..], &b""[..])
+        parse_command(&whole[..=MAX_COMMAND_LEN]),
+        Err(ProtocolError::CommandTooLong)
     );
-    assert_eq!(read.part(ASK, 9), b"");
 }
 
 #[test]
-fn what_is_no_command_is_broken_at_once() {
-    let cases: [&[u8]; 9] = [
-        b"GET / HTTP/1.1\r\n",
-        b"*0\r\n",
-        b"*-1\r\n",
-        b"*99\r\n",
-        b"*1\r\n$-1\r\n",
-        b"*1\r\n$65537\r\n",
-        b"*1\r\n$99999999999999999999\r\n",
-        b"*1\r\n$2\r\nabcd",
-        b"*1\n$1\r\na\r\n",
+fn errors_read_as_clients_know_them() {
+    let cases = [
+        (ProtocolError::MissingCarriageReturn, "a line without CR LF"),
+        (ProtocolError::LineTooLong, "a line is too long"),
+        (ProtocolError::UnexpectedType, "an unexpected type"),
+        (ProtocolError::InvalidLength, "a length is no number"),
+        (ProtocolError::ValueTooLong, "a value is too long"),
+        (
+            ProtocolError::MissingValueTerminator,
+            "a value does not end where it should",
+        ),
+        (
+            ProtocolError::InvalidPartCount,
+            "a command with no parts or too many",
+        ),
+        (ProtocolError::CommandTooLong, "a command is too long"),
+        (ProtocolError::NullPart, "a part is null"),
+        (
+            ProtocolError::InvalidReplyLength,
+            "an answer that has not three parts",
+        ),
+        (ProtocolError::NullReplyValue, "an answer without a value"),
     ];
-    for bytes in cases {
-        assert!(
-            command(bytes).is_err(),
-            "{}",
-            String::from_utf8_lossy(bytes)
-        );
+    for (error, expected) in cases {
+        assert_eq!(error.to_string(), expected);
     }
-    assert!(
-        command(&[b"*".as_slice(), &[b'1'; 2000]].concat()).is_err(),
-        "a line without an end"
-    );
 }
 
 #[test]
-fn an_answer_gives_its_value_figures_and_report() {
-    let bytes = b"*3\r\n$2\r\nhi\r\n$6\r\ncost=3\r\n$8\r\nutil=0.5\r\n";
-    for cut in 0..bytes.len() {
-        assert_eq!(reply(&bytes[..cut]), Ok(None), "{cut} bytes");
+fn reply_has_value_metered_use_and_load_report() {
+    for length in 0..SERVED.len() {
+        assert_eq!(parse_reply(&SERVED[..length]), Ok(None), "{length} bytes");
     }
-    let (read, len) = reply(bytes).expect("sound").expect("whole");
+    let (reply, length) = whole_reply(SERVED);
     let Reply::Served {
         value,
         used: Some(used),
         report: Some(report),
-    } = read
+    } = reply
     else {
-        panic!("served")
+        panic!("not served: {reply:?}")
     };
-    assert_eq!((len, &bytes[value]), (bytes.len(), &b"$2\r\nhi\r\n"[..]));
-    assert_eq!(
-        (&bytes[used], &bytes[report]),
-        (&b"cost=3"[..], &b"util=0.5"[..])
-    );
-    for odd in [
-        &b":7\r\n$-1\r\n"[..],
-        b"$-1\r\n+util\r\n",
-        b"$-1\r\n$9999999\r\n",
-        b"$1\r\nabc",
-        b"$-1\r\n#",
-    ] {
-        let bytes = [&b"*3\r\n$2\r\nhi\r\n"[..], odd].concat();
-        let (read, len) = reply(&bytes).expect("sound").expect("whole");
-        assert_eq!(
-            (read, len),
-            (
-                Reply::Served {
-                    value: 4..12,
-                    used: None,
-                    report: None
-                },
-                0
-            )
-        );
-    }
-    let (read, _) = reply(b"*3\r\n$2\r\nhi\r\n$6\r\ncost=3\r\n#")
-        .expect("sound")
-        .expect("whole");
-    assert_eq!(
-        read,
-        Reply::Served {
+    assert_eq!(length, SERVED.len());
+    assert_eq!(&SERVED[value], b"$2\r\nhi\r\n");
+    assert_eq!(&SERVED[used], b"cost=3");
+    assert_eq!(&SERVED[report], b"util=0.5");
+}
+
+#[test]
+fn value_of_a_reply_is_kept_when_what_follows_is_malformed() {
+    let cases: [(&[u8], Option<std::ops::Range<usize>>); 6] = [
+        (b":7\r\n$-1\r\n", None),
+        (b"$-1\r\n+util\r\n", None),
+        (b"$-1\r\n$9999999\r\n", None),
+        (b"$1\r\nabc", None),
+        (b"$-1\r\n#", None),
+        (b"$6\r\ncost=3\r\n#", Some(16..22)),
+    ];
+    for (rest, used) in cases {
+        let bytes = [VALUE_ALONE, rest].concat();
+        let expected = Reply::Served {
             value: 4..12,
-            used: Some(16..22),
-            report: None
-        }
-    );
-    let (read, _) = reply(b"-BUSY\r\n").expect("sound").expect("whole");
-    assert_eq!(read, Reply::Error(1..5));
+            used,
+            report: None,
+        };
+        assert_eq!(whole_reply(&bytes), (expected, 0), "{}", text(rest));
+    }
+}
+
+#[test]
+fn error_line_is_a_reply() {
+    assert_eq!(whole_reply(b"-BUSY\r\n"), (Reply::Error(1..5), 7));
+    assert_eq!(parse_reply(b"-BUSY\r"), Ok(None));
 }
 
 #[test]
-fn a_spoilt_answer_is_broken() {
-    for bytes in [
-        &b"+OK\r\n"[..],
-        b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
-        b"*2\r\n$1\r\na\r\n",
-        b"$1\r\na\r\n",
-        b"*3\r\n$x\r\n",
-    ] {
-        assert!(reply(bytes).is_err(), "{}", String::from_utf8_lossy(bytes));
+fn malformed_reply_is_an_error() {
+    let cases: [(&[u8], ProtocolError); 5] = [
+        (b"+OK\r\n", ProtocolError::UnexpectedType),
+        (
+            b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+            ProtocolError::NullReplyValue,
+        ),
+        (b"*2\r\n$1\r\na\r\n", ProtocolError::InvalidReplyLength),
+        (b"$1\r\na\r\n", ProtocolError::UnexpectedType),
+        (b"*3\r\n$x\r\n", ProtocolError::InvalidLength),
+    ];
+    for (bytes, error) in cases {
+        assert_eq!(parse_reply(bytes), Err(error), "{}", text(bytes));
     }
 }
 
 #[test]
-fn numbers_are_written_out() {
-    let mut out = Vec::new();
-    for n in [0, 7, 10, u64::MAX] {
-        put_digits(&mut out, n);
-        out.push(b' ');
+fn numbers_are_encoded_as_decimal_digits() {
+    for number in [0, 7, 10, u64::MAX] {
+        let mut out = Vec::new();
+        put_digits(&mut out, number);
+        assert_eq!(text(&out), number.to_string());
     }
-    assert_eq!(out, b"0 7 10 18446744073709551615 ");
+}
+
+#[test]
+fn bulk_string_is_encoded_with_its_length() {
     let mut out = Vec::new();
     put_bulk(&mut out, b"abc");
     assert_eq!(out, b"$3\r\nabc\r\n");
