Go by the account's own plan as before where a damaged message names another

Cause: the split decision code went by the plan that a message names; the code before went by that of the account for refills, grants and renewals.

--- a/src/decisions/quota_exchange.rs
+++ b/src/decisions/quota_exchange.rs
@@ -43,7 +43,6 @@
         let penalty = plan.over_quota_penalty.min(1.0);
         OwnerTerms {
             reserve: BUCKET_RESERVE * fleet_scale(&self.settings) * self.settings.max_request_cost * penalty,
-            permit_lease_ms: self.permit_lease_ms(),
             mean_latency_ms: self.endpoints.mean_latency_ms(),
             gossip_enabled: self.settings.gossip_enabled,
             now_ms: self.now_ms,
@@ -51,12 +50,13 @@
         }
     }
 
-    /// The owned account, brought up to now.
+    /// The owned account, brought up to now. Its own plan counts, as that in a damaged message may be
+    /// another.
     pub(crate) fn owned(&mut self, account: AccountId) -> &mut OwnerLedger {
-        let terms = self.owner_terms(account.plan);
-        let owner = &mut self.tenant(account).owner;
-        owner.advance(&terms.plan, terms.permit_lease_ms, terms.now_ms);
-        owner
+        let (settings, lease_ms, now_ms) = (self.settings.clone(), self.permit_lease_ms(), self.now_ms);
+        let tenant = self.tenant(account);
+        tenant.owner.advance(&settings.plans[tenant.plan], lease_ms, now_ms);
+        &mut tenant.owner
     }
 
     fn serve_owned_queue(&mut self, account: AccountId) {
@@ -76,9 +76,10 @@
         self.owned(account);
         // Permits whose release was lost expire by time alone: nothing else would make the queue move.
         self.serve_owned_queue(account);
-        let terms = self.owner_terms(account.plan);
-        let tenant = self.tenants.get_mut(&account.tenant);
-        tenant.map_or(QuotaDecision::Denied, |t| quota_owner::decide(&mut t.owner, request, demand, &terms))
+        let mut terms = self.owner_terms(account.plan);
+        let Some(tenant) = self.tenants.get_mut(&account.tenant) else { return QuotaDecision::Denied };
+        terms.plan = self.settings.plans[tenant.plan].clone();
+        quota_owner::decide(&mut tenant.owner, request, demand, &terms)
     }
 
     pub(crate) fn on_quota_request(&mut self, account: AccountId, request: QuotaRequest, demand: f64) {
@@ -104,10 +105,10 @@
     }
 
     pub(crate) fn renew_owned(&mut self, account: AccountId, permit: PermitId) {
-        let plan_permits = self.settings.plans[account.plan].max_concurrency as usize;
-        let permits = quota_owner::MAX_RENEWED_PERMIT_MULTIPLE * plan_permits;
         if let Some(tenant) = self.tenants.get_mut(&account.tenant) {
-            tenant.owner.renew_permit(permit, permits, self.now_ms);
+            let permits = self.settings.plans[tenant.plan].max_concurrency as usize;
+            let capacity = quota_owner::MAX_RENEWED_PERMIT_MULTIPLE * permits;
+            tenant.owner.renew_permit(permit, capacity, self.now_ms);
         }
     }
 
--- a/src/records/quota.rs
+++ b/src/records/quota.rs
@@ -8,8 +8,6 @@
     pub plan: Plan,
     /// Tokens that stay in the bucket beside the cost of a request, unless it is full.
     pub reserve: f64,
-    /// Permits that were not renewed for this time are taken back.
-    pub permit_lease_ms: f64,
     pub mean_latency_ms: f64,
     pub gossip_enabled: bool,
     pub now_ms: f64,
