--- a/src/decisions/endpoint_selection.rs
+++ b/src/decisions/endpoint_selection.rs
@@ -48,8 +48,9 @@
     now_ms: f64,
     rng: &mut impl Rng,
 ) -> Option<EndpointName> {
-    let arc = preferred_arc(settings, model.ready_count());
-    let mut candidates = model.weighted_random_order(arc, rng);
+    let ready: Vec<(Candidate, f64)> = model.ready().map(|ready| (ready, ready.1.weight)).collect();
+    let arc = preferred_arc(settings, ready.len() as f64);
+    let mut candidates = arc.weighted_random_order(&ready, rng);
     candidates.retain(|candidate| selection.permits(candidate));
     select(candidates, selection, &model.estimator(now_ms), rng).cloned()
 }
--- a/src/decisions/load_shedding.rs
+++ b/src/decisions/load_shedding.rs
@@ -5,9 +5,10 @@
 //! counts the failures of all higher tiers as its own, so that the lowest tier is shed first.
 
 use crate::records::PriorityTier;
-use crate::settings::{RequestClass, Settings};
-use crate::statistics::{SlidingWindow, WindowShape};
+use crate::settings::Settings;
+use crate::statistics::{RatioBands, SlidingWindow, WindowShape};
 use rand::Rng;
+use std::sync::Arc;
 
 /// K: how many times the accepts may be forwarded. With a success rate under 1/K, all but the minimum is
 /// rejected.
@@ -24,36 +25,34 @@
 
 /// Sheds load by priority tier, judging by the outcomes that this gateway has seen lately.
 pub(super) struct LoadShedder {
-    /// By class, then by plan.
-    tiers: Vec<Vec<PriorityTier>>,
+    settings: Arc<Settings>,
+    tiers: RatioBands,
     window: SlidingWindow,
     /// By tier: when a request was last let through.
     last_forwarded_at_ms: Vec<f64>,
-    gateway_count: f64,
 }
 
 impl LoadShedder {
     /// A load shedder that has seen nothing yet.
-    pub(super) fn new(settings: &Settings) -> Self {
-        let values = request_values(settings);
-        let tier_tops = tier_tops(&values);
-        let tier_count = tier_tops.len().max(1);
-        let tier = |value: &f64| {
-            let lowest_fitting = tier_tops.iter().rposition(|top| value <= top);
-            PriorityTier(lowest_fitting.unwrap_or(0))
-        };
-        let tiers = values.iter().map(|row| row.iter().map(tier).collect());
+    pub(super) fn new(settings: Arc<Settings>) -> LoadShedder {
+        let mut weights = Vec::new();
+        for class in &settings.classes {
+            weights.extend(settings.plans.iter().map(|plan| class.priority_weight * plan.weight));
+        }
+        let tiers = RatioBands::new(weights, TIER_RATIO);
         LoadShedder {
-            tiers: tiers.collect(),
-            window: SlidingWindow::new(WINDOW, tier_count),
-            last_forwarded_at_ms: vec![f64::NEG_INFINITY; tier_count],
-            gateway_count: f64::from(settings.gateway_count),
+            window: SlidingWindow::new(WINDOW, tiers.count()),
+            last_forwarded_at_ms: vec![f64::NEG_INFINITY; tiers.count()],
+            tiers,
+            settings,
         }
     }
 
     /// The tier of a class and plan, if the settings have both.
     pub(super) fn tier_of(&self, class: usize, plan: usize) -> Option<PriorityTier> {
-        self.tiers.get(class)?.get(plan).copied()
+        let class = self.settings.classes.get(class)?;
+        let plan = self.settings.plans.get(plan)?;
+        Some(PriorityTier(self.tiers.band_of(class.priority_weight * plan.weight)))
     }
 
     /// Counts the final outcome of a request.
@@ -71,7 +70,8 @@
     ) -> bool {
         let probability = self.rejection_probability(tier, now_ms);
         let rejected = probability > 0.0 && rng.random::<f64>() < probability;
-        let min_per_second = MIN_FORWARDED_PER_SECOND * endpoint_count as f64 / self.gateway_count;
+        let min_per_second =
+            MIN_FORWARDED_PER_SECOND * endpoint_count as f64 / f64::from(self.settings.gateway_count);
         let last_forwarded_at_ms = &mut self.last_forwarded_at_ms[tier.0];
         if rejected && now_ms - *last_forwarded_at_ms < 1000.0 / min_per_second {
             return true;
@@ -89,24 +89,3 @@
         ((requests - ACCEPT_MULTIPLIER * own.accepted) / (requests + 1.0)).max(0.0)
     }
 }
-
-/// The value of a request, by class and then by plan.
-fn request_values(settings: &Settings) -> Vec<Vec<f64>> {
-    let values_of = |class: &RequestClass| {
-        settings.plans.iter().map(|plan| class.priority_weight * plan.weight).collect()
-    };
-    settings.classes.iter().map(values_of).collect()
-}
-
-/// The highest value of each tier, in falling order.
-fn tier_tops(values: &[Vec<f64>]) -> Vec<f64> {
-    let mut falling: Vec<f64> = values.iter().flatten().copied().collect();
-    falling.sort_by(|a, b| b.total_cmp(a));
-    let mut tops: Vec<f64> = Vec::new();
-    for value in falling {
-        if tops.last().is_none_or(|top| value < TIER_RATIO * top) {
-            tops.push(value);
-        }
-    }
-    tops
-}
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -88,7 +88,7 @@
             // them.
             requests: RequestTable::numbered_from(QuotaRequestId(seed & FIRST_QUOTA_REQUEST_MASK)),
             unconfirmed_usage: UnconfirmedUsage::default(),
-            load_shedder: LoadShedder::new(&settings),
+            load_shedder: LoadShedder::new(settings.clone()),
             endpoints: EndpointModel::new(settings.clone(), estimation_parameters(&settings)),
             retry_budget: SavingsBudget::full(MAX_SAVED_RETRIES),
             actions: ActionSink::new(outbox_limits(&settings)),
--- a/src/endpoint_model/estimates.rs
+++ b/src/endpoint_model/estimates.rs
@@ -2,7 +2,7 @@
 
 use super::parameters::ModelContext;
 use super::records::{EndpointRecord, FleetEstimates};
-use crate::statistics::{exponential_decay, geometric_step};
+use crate::statistics::{AgingReport, exponential_decay, geometric_step};
 
 /// Estimates as of one moment.
 pub(crate) struct Estimator<'a> {
@@ -41,10 +41,7 @@
         let own_mean = self.fleet_mean_in_flight() / self.endpoint_count.max(1) as f64;
         // The peers together: as this gateway on average, or as fresh reports from any endpoint say.
         let mean_guess = own_mean * peers;
-        let reported_mean = self.fleet.reported_others;
-        let peer_mean = reported_mean.map_or(mean_guess, |report| {
-            report.blended_with(mean_guess, self.now_ms, parameters.report_window_ms)
-        });
+        let peer_mean = self.blend(self.fleet.reported_others, mean_guess);
         // Peers see the same rush: the mean alone lags behind a queue that all of them build at once.
         let own = endpoint.in_flight_count();
         let own_usual =
@@ -53,10 +50,12 @@
                 .mean(own, self.now_ms, parameters.in_flight_window_ms);
         let own_usual = own_usual.max(parameters.peer_similarity * own);
         let guess = (peer_mean + (own_usual - own_mean) * peers).max(0.0);
-        let others = endpoint.reported_others.map_or(guess, |report| {
-            report.blended_with(guess, self.now_ms, parameters.report_window_ms)
-        });
-        own + others
+        own + self.blend(endpoint.reported_others, guess)
+    }
+
+    fn blend(&self, report: Option<AgingReport>, guess: f64) -> f64 {
+        let window_ms = self.context.parameters.report_window_ms;
+        AgingReport::blend(report, guess, self.now_ms, window_ms)
     }
 
     /// The mean over time of this gateway's attempts in flight at all endpoints.
--- a/src/endpoint_model/mod.rs
+++ b/src/endpoint_model/mod.rs
@@ -8,7 +8,6 @@
 mod learning;
 mod parameters;
 mod records;
-mod ring;
 
 use crate::events::{
     AttemptOutcome, Endpoint, EndpointListKind, EndpointName, EndpointState, RequestId,
@@ -16,7 +15,6 @@
 use crate::records::PossibleExecution;
 use crate::settings::Settings;
 use learning::{Learning, initial_mean_latency_ms};
-use rand::Rng;
 use records::{AttemptInFlight, FleetEstimates};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -24,7 +22,9 @@
 pub(crate) use estimates::Estimator;
 pub(crate) use parameters::{EstimationParameters, ModelContext};
 pub(crate) use records::EndpointRecord;
-pub(crate) use ring::{Candidate, RingArc};
+
+/// An endpoint as a candidate for an attempt.
+pub(crate) type Candidate<'a> = (&'a EndpointName, &'a EndpointRecord);
 
 /// All endpoints that a gateway knows.
 pub(crate) struct EndpointModel {
@@ -59,18 +59,11 @@
         self.endpoints.len()
     }
 
-    /// The number of endpoints that are ready.
-    pub(crate) fn ready_count(&self) -> f64 {
-        ring::ready_count(&self.endpoints)
-    }
-
-    /// The ready endpoints in a random order by weight, those on the arc before all others.
-    pub(crate) fn weighted_random_order(
-        &self,
-        arc: RingArc,
-        rng: &mut impl Rng,
-    ) -> Vec<Candidate<'_>> {
-        ring::weighted_random_order(&self.endpoints, arc, rng)
+    /// The endpoints that are ready, in the order of their names.
+    pub(crate) fn ready(&self) -> impl Iterator<Item = Candidate<'_>> {
+        self.endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.state == EndpointState::Ready)
     }
 
     /// The part of a class's latency objective within which an endpoint has capacity for a first attempt.
--- a/src/statistics/decay.rs
+++ b/src/statistics/decay.rs
@@ -5,8 +5,8 @@
 /// The fraction of a value that is left `elapsed_ms` after it was recorded: `e^(-elapsed / time
 /// constant)`.
 ///
-/// The result is 1 with no time elapsed, about 0.37 after one time constant, and 0 after an infinite
-/// time.
+/// The result is 1 with no time elapsed, about 0.37 after one time constant, and 0 after an
+/// infinite time.
 #[must_use]
 pub fn exponential_decay(elapsed_ms: f64, time_constant_ms: f64) -> f64 {
     (-elapsed_ms / time_constant_ms).exp()
@@ -14,8 +14,8 @@
 
 /// A value that decays exponentially from the time of its last update.
 ///
-/// With [`DecayingValue::add_event`] it estimates a rate per second: each event adds its share of one
-/// time constant, so that events of total amount `a` each second settle at about `a`.
+/// With [`DecayingValue::add_event`] it estimates a rate per second: each event adds its share of
+/// one time constant, so that events of total amount `a` each second settle at about `a`.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct DecayingValue {
     value: f64,
--- a/src/statistics/moving_average.rs
+++ b/src/statistics/moving_average.rs
@@ -8,8 +8,8 @@
 
 /// Moves `average` towards `sample` by ratio: a weight of 0.5 gives their geometric mean.
 ///
-/// A few samples of many times the usual size move this average far less than an arithmetic one. Both
-/// arguments must be positive.
+/// A few samples of many times the usual size move this average far less than an arithmetic one.
+/// Both arguments must be positive.
 #[must_use]
 pub fn geometric_step(average: f64, sample: f64, weight: f64) -> f64 {
     average * (sample / average).powf(weight)
--- a/src/statistics/sliding_window.rs
+++ b/src/statistics/sliding_window.rs
@@ -24,8 +24,8 @@
 
 /// Tallies of several lanes over the same sliding window.
 ///
-/// The slots are shared by all lanes. A slot stays open until it holds enough events, so that a window of
-/// few events spans a longer time instead of holding too few to judge by.
+/// The slots are shared by all lanes. A slot stays open until it holds enough events, so that a
+/// window of few events spans a longer time instead of holding too few to judge by.
 #[derive(Debug, Clone)]
 pub struct SlidingWindow {
     shape: WindowShape,
--- a/src/statistics/time_averaged_gauge.rs
+++ b/src/statistics/time_averaged_gauge.rs
@@ -4,7 +4,8 @@
 
 /// An exponentially weighted mean, over time, of a level that stays constant between its changes.
 ///
-/// The owner of the level calls [`TimeAveragedGauge::advance`] with the old level before each change.
+/// The owner of the level calls [`TimeAveragedGauge::advance`] with the old level before each
+/// change.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct TimeAveragedGauge {
     mean: f64,
--- a/src/statistics/token_bucket.rs
+++ b/src/statistics/token_bucket.rs
@@ -28,8 +28,8 @@
     }
 }
 
-/// A number of tokens, refilled over time. The level may go below zero: that is a debt which refills pay
-/// off.
+/// A number of tokens, refilled over time. The level may go below zero: that is a debt which
+/// refills pay off.
 ///
 /// The limits come with each refill, since they may change while the level stays.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -71,8 +71,8 @@
         self.level = (self.level - tokens).max(self.level.min(0.0));
     }
 
-    /// Takes tokens, or gives them back where `tokens` is negative, between a debt of `burst` and a full
-    /// bucket.
+    /// Takes tokens, or gives them back where `tokens` is negative, between a debt of `burst` and a
+    /// full bucket.
     ///
     /// # Panics
     /// When `burst` is negative or not a number.
--- a/tests/statistics.rs
+++ b/tests/statistics.rs
@@ -1,11 +1,14 @@
 //! The generic estimators, each on its own.
 
 use marlshelf::statistics::{
-    AgingReport, BucketLimits, DecayingValue, SavingsBudget, SlidingWindow, Tally,
-    TimeAveragedGauge, TokenBucket, WindowShape, arithmetic_step, exponential_decay,
+    AgingReport, BucketLimits, DecayingValue, RatioBands, RingArc, SavingsBudget, SlidingWindow,
+    Tally, TimeAveragedGauge, TokenBucket, WindowShape, arithmetic_step, exponential_decay,
     geometric_step,
 };
 
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
 fn assert_near(actual: f64, expected: f64) {
     let tolerance = 1e-9 * expected.abs().max(1.0);
     assert!(
@@ -112,16 +115,15 @@
 
 #[test]
 fn an_aging_report_gives_way_to_the_guess() {
-    let report = AgingReport {
-        received_at_ms: 500.0,
-        value: 10.0,
-    };
+    let report = AgingReport::new(10.0, 500.0);
     assert_exactly(report.blended_with(2.0, 500.0, 1000.0), 10.0);
     assert_near(
         report.blended_with(2.0, 1500.0, 1000.0),
         2.0 + 8.0 / std::f64::consts::E,
     );
     assert_near(report.blended_with(2.0, 1e6, 1000.0), 2.0);
+    assert_exactly(AgingReport::blend(Some(report), 2.0, 500.0, 1000.0), 10.0);
+    assert_exactly(AgingReport::blend(None, 2.0, 500.0, 1000.0), 2.0);
 }
 
 #[test]
@@ -275,18 +277,137 @@
     assert_exactly(bucket.level(), -20.0);
 }
 
+#[test]
+fn an_arc_overlaps_segments_also_past_the_end_of_the_ring() {
+    let arc = RingArc {
+        start: 0.75,
+        length: 0.5,
+    };
+    assert_exactly(arc.overlap(0.0, 0.125), 0.125);
+    assert_exactly(arc.overlap(0.125, 0.5), 0.125);
+    assert_exactly(arc.overlap(0.375, 0.625), 0.0);
+    assert_exactly(arc.overlap(0.5, 1.0), 0.25);
+    assert_exactly(arc.overlap(0.0, 1.0), 0.5);
+}
+
+#[test]
+fn consecutive_arcs_are_spread_evenly() {
+    for first in [0, 7, 100] {
+        let mut starts: Vec<f64> = (first..first + 13)
+            .map(|number| RingArc::spread(number, 0.1).start)
+            .collect();
+        starts.sort_by(f64::total_cmp);
+        let gaps = starts.windows(2).map(|pair| pair[1] - pair[0]);
+        let widest = gaps.fold(starts[0] + 1.0 - starts[12], f64::max);
+        assert!(widest < 2.0 / 13.0, "{widest} from {first}");
+    }
+}
+
+#[test]
+fn an_arc_of_the_whole_ring_overlaps_everything() {
+    let arc = RingArc {
+        start: 0.3,
+        length: 1.0,
+    };
+    assert_exactly(arc.overlap(0.25, 0.75), 0.5);
+}
+
+/// How often item 0 of these comes first, of 1.
+fn part_of_first_places(arc: RingArc, items: &[(usize, f64)]) -> f64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let rounds = 20_000;
+    let first = (0..rounds)
+        .filter(|_| arc.weighted_random_order(items, &mut rng)[0] == 0)
+        .count();
+    first as f64 / f64::from(rounds)
+}
+
+#[test]
+fn a_weighted_order_puts_items_first_in_proportion_to_their_weights() {
+    let arc = RingArc {
+        start: 0.0,
+        length: 1.0,
+    };
+    let part = part_of_first_places(arc, &[(0, 3.0), (1, 1.0)]);
+    assert!((part - 0.75).abs() < 0.02, "{part}");
+}
+
+#[test]
+fn items_on_the_arc_come_before_all_others() {
+    let arc = RingArc {
+        start: 0.5,
+        length: 0.5,
+    };
+    let items = [(2, 100.0), (3, 100.0), (0, 150.0), (1, 50.0)];
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    for _ in 0..100 {
+        let order = arc.weighted_random_order(&items, &mut rng);
+        assert!(order[0] < 2 && order[1] < 2, "{order:?}");
+        assert_eq!(order.len(), 4);
+    }
+    let part = part_of_first_places(arc, &items);
+    assert!((part - 0.75).abs() < 0.02, "{part}");
+}
+
+#[test]
+fn an_item_partly_on_the_arc_counts_with_that_part() {
+    let arc = RingArc {
+        start: 0.25,
+        length: 0.5,
+    };
+    // On the arc lie 0.25 of item 0 and 0.25 of item 1, of 0.5 each.
+    let part = part_of_first_places(arc, &[(0, 5.0), (1, 5.0)]);
+    assert!((part - 0.5).abs() < 0.02, "{part}");
+    let narrow = RingArc {
+        start: 0.375,
+        length: 0.25,
+    };
+    let part = part_of_first_places(narrow, &[(0, 7.0), (1, 7.0)]);
+    assert!((part - 0.5).abs() < 0.02, "{part}");
+    let uneven = RingArc {
+        start: 0.25,
+        length: 0.3125,
+    };
+    let part = part_of_first_places(uneven, &[(0, 1.0), (1, 1.0)]);
+    assert!((part - 0.8).abs() < 0.02, "{part}");
+}
+
+#[test]
+fn an_order_of_nothing_is_empty() {
+    let arc = RingArc {
+        start: 0.0,
+        length: 1.0,
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let order: Vec<usize> = arc.weighted_random_order(&[], &mut rng);
+    assert!(order.is_empty());
+}
+
+#[test]
+fn bands_begin_where_a_value_falls_below_the_ratio() {
+    let bands = RatioBands::new(vec![1.0, 10.0, 7.0, 6.0, 5.0, 4.0], 0.7);
+    // The tops are 10, 6, 4 and 1: 7 is not below 0.7 times 10, and 5 not below 0.7 times 6.
+    assert_eq!(bands.count(), 4);
+    let expected = [(10.0, 0), (7.0, 0), (6.0, 1), (5.0, 1), (4.0, 2), (1.0, 3)];
+    for (value, band) in expected {
+        assert_eq!(bands.band_of(value), band, "{value}");
+    }
+}
+
+#[test]
+fn bands_of_nothing_are_one() {
+    let bands = RatioBands::new(Vec::new(), 0.7);
+    assert_eq!((bands.count(), bands.band_of(3.0)), (1, 0));
+}
+
 #[test]
 fn a_savings_budget_is_earned_up_to_its_limit_and_can_be_overspent() {
     let mut budget = SavingsBudget::full(2.0);
-    assert_eq!(budget.saved(), 2.0, "it starts full");
+    assert_exactly(budget.saved(), 2.0);
     budget.earn(1.0);
-    assert_eq!(budget.saved(), 2.0, "nothing is saved beyond the limit");
+    assert_exactly(budget.saved(), 2.0);
     budget.spend(3.0);
-    assert_eq!(
-        budget.saved(),
-        -1.0,
-        "what is spent beyond the savings is owed"
-    );
+    assert_exactly(budget.saved(), -1.0);
     budget.earn(0.25);
-    assert_eq!(budget.saved(), -0.75, "earnings pay off what is owed");
+    assert_exactly(budget.saved(), -0.75);
 }
