--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod concurrency_permits;
 mod fleet_quotas;
 mod gossip;
+mod gossip_compatibility;
 mod hard_limits;
 mod load_balancing;
 mod load_shedding;
--- a/tests/decisions/support/gossip_text.rs
+++ b/tests/decisions/support/gossip_text.rs
@@ -47,9 +47,14 @@
     text.split(',').map(str::to_string).collect()
 }
 
-/// Hands gossip of a peer to a quota owner and returns its decisions, which must be all that it sends.
+/// Hands gossip of the peer to a quota owner and returns its decisions, which must be all that it sends.
 pub fn decisions(owner: &mut TestGateway, now_ms: f64, text: &str) -> Vec<Decision> {
-    let datagrams = owner.receive_gossip(now_ms, PEER, text).gossip();
+    decisions_for(PEER, owner, now_ms, text)
+}
+
+/// As `decisions`, for another peer.
+pub fn decisions_for(peer: u32, owner: &mut TestGateway, now_ms: f64, text: &str) -> Vec<Decision> {
+    let datagrams = owner.receive_gossip(now_ms, peer, text).gossip();
     datagrams
         .iter()
         .flat_map(|datagram| datagram.split(';'))
--- a/tests/decisions/support/mod.rs
+++ b/tests/decisions/support/mod.rs
@@ -8,6 +8,8 @@
 pub mod gossip_text;
 pub mod quota_fleet;
 pub mod quota_ledger;
+pub mod recorded_gossip;
+pub mod recorded_scenario;
 pub mod requests;
 pub mod settings;
 pub mod simulated_endpoint;
--- /dev/null
+++ b/tests/decisions/support/recorded_scenario.rs
@@ -0,0 +1,289 @@
+//! The scenario that `recorded_gossip` is a recording of: three gateways, a tenant for each kind of plan, slow
+//! attempts that have to renew their permits, and a partition.
+//!
+//! Everything here is fixed. A change of a number needs a new recording by the engine of the recorded commit.
+
+use super::event_queue::EventQueue;
+use super::gateway::{TestGateway, default_endpoints};
+use super::recorded_gossip::{GOSSIP, OUTCOMES};
+use super::requests::{TestRequest, request, success};
+use marlshelf::{Action, AttemptOutcome, Event, Idempotency, Plan, RequestClass, Settings};
+use std::ops::Range;
+
+pub const GATEWAYS: u32 = 3;
+/// The engine of gateway n has this seed plus n.
+const FIRST_SEED: u64 = 11;
+const LINK_DELAY_MS: f64 = 3.217;
+/// All gossip that is sent in this time is lost.
+const PARTITION_MS: Range<f64> = 2000.0..3200.0;
+
+/// A tenant with a token bucket that its requests exhaust.
+pub const TOKEN_BUCKET: usize = 0;
+/// A tenant with two concurrency permits, which the gateways share.
+pub const PERMITS: usize = 1;
+/// A tenant with a token bucket and two concurrency permits.
+const TOKEN_BUCKET_AND_PERMITS: usize = 2;
+/// A tenant with a hard limit that its requests exhaust.
+const HARD_LIMIT: usize = 3;
+/// A tenant whose requests arrive so fast at one gateway that it prefetches tokens.
+const PREFETCH: usize = 4;
+
+fn settings() -> Settings {
+    let token_bucket = |refill_rate, burst| Plan {
+        refill_rate,
+        burst,
+        weight: 1.0,
+        over_quota_penalty: 0.5,
+        ..Plan::default()
+    };
+    let permits = Plan {
+        max_concurrency: 2,
+        weight: 1.0,
+        over_quota_penalty: 0.5,
+        ..Plan::default()
+    };
+    Settings {
+        gateway_count: GATEWAYS,
+        classes: vec![RequestClass {
+            priority_weight: 1.0,
+            latency_objective_ms: 800.0,
+            late_answer_weight: 0.0,
+            idempotency: Idempotency::Idempotent,
+            deduplication_window_ms: 0.0,
+        }],
+        plans: vec![
+            token_bucket(2.0, 4.0),
+            permits.clone(),
+            Plan {
+                refill_rate: 4.0,
+                burst: 6.0,
+                ..permits
+            },
+            Plan {
+                hard_limit_rate: 4.0,
+                hard_limit_burst: 16.0,
+                hard_limit_slack: 2.0,
+                ..token_bucket(20.0, 20.0)
+            },
+            token_bucket(10.0, 20.0),
+        ],
+        max_attempts: 3,
+        gossip_enabled: true,
+        max_request_cost: 3.0,
+        gossip_intake_per_second: 50.0,
+        initial_warmth: 0.2,
+        warmup_ms: 10_000.0,
+        ..Settings::default()
+    }
+}
+
+/// Every third request is slow, so that both permits are in use at times.
+fn latency_ms(request: u64) -> f64 {
+    if request.is_multiple_of(3) {
+        1100.0
+    } else {
+        60.0
+    }
+}
+
+/// The estimate of every fifth request is one token too low.
+fn actual_cost(request: u64) -> Option<f64> {
+    request.is_multiple_of(5).then_some(2.0)
+}
+
+/// A request of the tenant that has this plan.
+pub fn scenario_request(id: u64, now_ms: f64, plan: usize) -> TestRequest {
+    let tenant = match plan {
+        TOKEN_BUCKET => "token-bucket",
+        PERMITS => "permits",
+        TOKEN_BUCKET_AND_PERMITS => "token-bucket-and-permits",
+        HARD_LIMIT => "hard-limit",
+        _ => "prefetch",
+    };
+    request(id, now_ms)
+        .plan(plan)
+        .tenant(tenant)
+        .shard_size(GATEWAYS)
+}
+
+/// Something that happens to a gateway.
+struct GatewayEvent {
+    gateway: u32,
+    event: Event,
+}
+
+/// Three gateways, or one of them among recorded peers.
+pub struct RecordedScenario {
+    gateways: Vec<Option<TestGateway>>,
+    queue: EventQueue<GatewayEvent>,
+    log: ScenarioLog,
+}
+
+/// What the gateways of a run did, one line each, as in the recording.
+#[derive(Default)]
+pub struct ScenarioLog {
+    /// The time, sender, receiver and text of each datagram that was sent.
+    pub gossip: Vec<String>,
+    /// The time and gateway of each attempt that was started and of each request that was rejected or failed.
+    pub outcomes: Vec<String>,
+}
+
+/// A line of the recorded gossip.
+struct RecordedDatagram<'a> {
+    sent_at_ms: f64,
+    from: u32,
+    to: u32,
+    text: &'a str,
+}
+
+impl<'a> RecordedDatagram<'a> {
+    fn parse(line: &'a str) -> Self {
+        let fields: Vec<&str> = line.split(' ').collect();
+        let [sent_at_ms, from, to, text] = fields[..] else {
+            panic!("expected four fields in the recording, got {line}");
+        };
+        RecordedDatagram {
+            sent_at_ms: sent_at_ms.parse().expect("the time is a number"),
+            from: from.parse().expect("the sender is a number"),
+            to: to.parse().expect("the receiver is a number"),
+            text,
+        }
+    }
+}
+
+/// What the gateway did in the recorded run, or all gateways.
+pub fn recorded_log(gateway: Option<u32>) -> ScenarioLog {
+    let of_gateway = |line: &&str| {
+        let name = line.split(' ').nth(1);
+        gateway.is_none_or(|gateway| name == Some(&gateway.to_string()))
+    };
+    let lines = |recording: &str| {
+        let lines = recording.lines().filter(of_gateway);
+        lines.map(str::to_string).collect()
+    };
+    ScenarioLog {
+        gossip: lines(GOSSIP),
+        outcomes: lines(OUTCOMES),
+    }
+}
+
+impl RecordedScenario {
+    /// Runs all three gateways, which send gossip to each other.
+    pub fn run_all() -> ScenarioLog {
+        let gateways = (0..GATEWAYS).map(|gateway| Some(start_gateway(gateway)));
+        Self::with_gateways(gateways.collect()).run()
+    }
+
+    /// Runs one gateway, which receives the recorded gossip of the others.
+    pub fn run_among_recorded_peers(gateway: u32) -> ScenarioLog {
+        let gateways = (0..GATEWAYS).map(|id| (id == gateway).then(|| start_gateway(id)));
+        let mut scenario = Self::with_gateways(gateways.collect());
+        for datagram in GOSSIP.lines().map(RecordedDatagram::parse) {
+            if datagram.to == gateway {
+                scenario.deliver(
+                    datagram.sent_at_ms,
+                    datagram.from,
+                    datagram.to,
+                    datagram.text.to_string(),
+                );
+            }
+        }
+        scenario.run()
+    }
+
+    fn with_gateways(gateways: Vec<Option<TestGateway>>) -> Self {
+        let mut scenario = RecordedScenario {
+            gateways,
+            queue: EventQueue::new(),
+            log: ScenarioLog::default(),
+        };
+        scenario.schedule_requests();
+        scenario
+    }
+
+    fn run(mut self) -> ScenarioLog {
+        while let Some((now_ms, GatewayEvent { gateway, event })) = self.queue.pop() {
+            let Some(engine) = &mut self.gateways[gateway as usize] else {
+                continue;
+            };
+            for action in engine.handle(now_ms, event) {
+                self.execute(now_ms, gateway, action);
+            }
+        }
+        self.log
+    }
+
+    fn schedule_requests(&mut self) {
+        for id in 0..72u64 {
+            let plan = (id % 4) as usize;
+            let gateway = (id / 4 % u64::from(GATEWAYS)) as u32;
+            let received = scenario_request(id, 1000.0 + 61.0 * id as f64, plan);
+            self.schedule(received.received_at_ms, gateway, received.event());
+        }
+        for step in 0..16u64 {
+            let pause_ms = if step < 14 { 0.0 } else { 900.0 };
+            let now_ms = 1010.0 + 47.0 * step as f64 + pause_ms;
+            let received = scenario_request(100 + step, now_ms, PREFETCH);
+            self.schedule(now_ms, 1, received.event());
+        }
+    }
+
+    fn schedule(&mut self, at_ms: f64, gateway: u32, event: Event) {
+        self.queue.insert(at_ms, GatewayEvent { gateway, event });
+    }
+
+    /// Delivers a datagram after the delay of the link, if there is no partition.
+    fn deliver(&mut self, sent_at_ms: f64, from: u32, to: u32, text: String) {
+        if !PARTITION_MS.contains(&sent_at_ms) {
+            let arrives_at_ms = sent_at_ms + LINK_DELAY_MS;
+            self.schedule(arrives_at_ms, to, Event::GossipReceived { from, text });
+        }
+    }
+
+    fn execute(&mut self, now_ms: f64, gateway: u32, action: Action) {
+        let mut log_outcome = |what: String| {
+            let line = format!("{now_ms} {gateway} {what}");
+            self.log.outcomes.push(line);
+        };
+        match action {
+            Action::Forward {
+                request, endpoint, ..
+            } => {
+                log_outcome(format!("forward {request} {endpoint}"));
+                let outcome = AttemptOutcome {
+                    actual_cost: actual_cost(request),
+                    ..success(request, &endpoint, latency_ms(request))
+                };
+                let answered = Event::AttemptFinished(outcome);
+                self.schedule(now_ms + latency_ms(request), gateway, answered);
+            }
+            Action::Reject {
+                request,
+                retry_after_ms,
+            } => log_outcome(format!("reject {request} {retry_after_ms}")),
+            Action::Fail { request } => log_outcome(format!("fail {request}")),
+            Action::SendGossip { to, text } => {
+                self.log
+                    .gossip
+                    .push(format!("{now_ms} {gateway} {to} {text}"));
+                if self.gateways[to as usize].is_some() {
+                    self.deliver(now_ms, gateway, to, text);
+                }
+            }
+            Action::SetTimer { token, delay_ms } => {
+                self.schedule(now_ms + delay_ms, gateway, Event::TimerFired { token });
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A gateway of the scenario, which has not received any request.
+pub fn start_gateway(gateway: u32) -> TestGateway {
+    let settings = Settings {
+        gateway,
+        ..settings()
+    };
+    let seed = FIRST_SEED + u64::from(gateway);
+    TestGateway::with_endpoints(settings, seed, default_endpoints())
+}
