Split the simulator adapter into modules with one job each, with typed errors

One file of 461 lines held the frames, the replies, their translation and the instances, and one function of 170 lines handled every kind of frame. It is now: frames.rs and replies.rs (the serialized forms, with the simulator's names only in serde attributes), translation.rs, instances.rs, host.rs (the protocol of batches), errors.rs and main.rs. Errors are enums that carry the line and the cause; a fault of the settings now names the instance that could not start. Exit codes, accepted frames and the bytes of replies stay.

tests/adapter.rs keeps its four cases and names them by behaviour. Invalid input is now checked for the exact place and cause, with four inputs more, and two cases are new: every kind of frame is accepted, and every kind of reply has the wire's keys in their order.

--- a/src/bin/marlshelf-simulator-adapter/main.rs
+++ b/src/bin/marlshelf-simulator-adapter/main.rs
@@ -1,45 +1,74 @@
-//! Hosts many independent gateways on the wire of a simulator: batches of events come in on
-//! standard input, the gateways' actions go out on standard output. Translation only.
+//! Hosts many independent gateways inside a simulator.
+//!
+//! Batches of events come in on standard input, one JSON frame per line, and the actions of the gateways go out on
+//! standard output. This program only translates: every decision is made by [`marlshelf::DecisionEngine`].
+//!
+//! It exits with success when the input ends between two batches. On any error it writes one line to standard error,
+//! unless its output is closed, and exits with failure; what it has read of the batch is then not answered.
 
-mod wire;
+mod errors;
+mod frames;
+mod host;
+mod instances;
+mod replies;
+mod translation;
 
+use errors::AdapterError;
+use host::Host;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
+/// The size of the output buffer, in bytes. A reply is written in few system calls, since it can have megabytes.
+const OUTPUT_BUFFER_BYTES: usize = 256 * 1024;
+
 fn main() -> ExitCode {
-    let mut host = wire::Host::default();
-    let mut input = io::stdin().lock();
-    let mut output = BufWriter::with_capacity(1 << 18, io::stdout().lock());
-    let mut line = String::new();
-    let mut number = 0u64;
-    loop {
-        line.clear();
-        match input.read_line(&mut line) {
-            Ok(0) if host.between_batches() => return ExitCode::SUCCESS,
-            Ok(0) => return complain(number, "input ended inside a batch"),
-            Ok(_) => number += 1,
-            Err(e) => return complain(number + 1, &e.to_string()),
+    let input = io::stdin().lock();
+    let output = BufWriter::with_capacity(OUTPUT_BUFFER_BYTES, io::stdout().lock());
+    match run(input, output) {
+        Ok(()) => ExitCode::SUCCESS,
+        // The simulator has closed the output, so it has stopped on its own account.
+        Err(AdapterError::Write(_)) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("marlshelf-simulator-adapter: {error}");
+            ExitCode::FAILURE
         }
+    }
+}
+
+/// Answers all batches of the input.
+fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), AdapterError> {
+    let mut host = Host::default();
+    let mut line = String::new();
+    let mut line_number = 0;
+    while read_line(&mut input, &mut line, line_number + 1)? {
+        line_number += 1;
         if line.trim().is_empty() {
             continue;
         }
-        match host.line(line.trim_end()) {
-            Ok(None) => {}
-            Ok(Some(reply)) => {
-                if output
-                    .write_all(reply.as_bytes())
-                    .and_then(|()| output.flush())
-                    .is_err()
-                {
-                    return ExitCode::FAILURE;
-                }
-            }
-            Err(what) => return complain(number, &what),
+        let reply = host
+            .handle_line(line.trim_end())
+            .map_err(|error| AdapterError::Frame { line_number, error })?;
+        if let Some(reply) = reply {
+            output.write_all(&reply).map_err(AdapterError::Write)?;
+            output.flush().map_err(AdapterError::Write)?;
         }
     }
+    if host.is_between_batches() {
+        Ok(())
+    } else {
+        Err(AdapterError::EndInsideBatch { line_number })
+    }
 }
 
-fn complain(line: u64, what: &str) -> ExitCode {
-    eprintln!("marlshelf-simulator-adapter: line {line}: {what}");
-    ExitCode::FAILURE
+/// Reads the next line into `line`. Returns `false` at the end of the input.
+fn read_line(
+    input: &mut impl BufRead,
+    line: &mut String,
+    line_number: u64,
+) -> Result<bool, AdapterError> {
+    line.clear();
+    match input.read_line(line) {
+        Ok(bytes) => Ok(bytes > 0),
+        Err(error) => Err(AdapterError::Read { line_number, error }),
+    }
 }
--- /dev/null
+++ b/src/bin/marlshelf-simulator-adapter/translation.rs
@@ -0,0 +1,210 @@
+//! Translation between the frames of the wire and the events and actions of the library.
+
+use crate::frames::{
+    AttemptFinished, ClientDisconnected, EndpointEntry, EndpointListForm, EntryState,
+    GossipReceived, HealthChecked, InstanceName, LoadReportFrame, RETRY_FLAG, RequestReceived,
+    Status, TimerFired,
+};
+use crate::replies::Reply;
+use marlshelf::{
+    Action, AttemptOutcome, AttemptResult, Endpoint, EndpointListKind, EndpointState, Event,
+    LoadReport, Request,
+};
+
+/// An event of one instance.
+pub struct InstanceEvent {
+    pub instance: InstanceName,
+    pub event: Event,
+}
+
+/// Which endpoints an answer of discovery contains. `None` if discovery has failed and sends no list.
+pub fn endpoint_list_kind(form: EndpointListForm) -> Option<EndpointListKind> {
+    match form {
+        EndpointListForm::Delta => Some(EndpointListKind::Delta),
+        EndpointListForm::Snapshot | EndpointListForm::Cached => Some(EndpointListKind::Snapshot),
+        EndpointListForm::Error => None,
+    }
+}
+
+impl From<&EndpointEntry> for Endpoint {
+    fn from(entry: &EndpointEntry) -> Endpoint {
+        Endpoint {
+            name: entry.endpoint.clone(),
+            zone: entry.zone,
+            cell: entry.cell,
+            hardware: entry.hardware,
+            weight: entry.weight,
+            state: entry.state.into(),
+            started_at_ms: entry.started_at_ms,
+        }
+    }
+}
+
+impl From<EntryState> for EndpointState {
+    fn from(state: EntryState) -> EndpointState {
+        match state {
+            EntryState::Ready => EndpointState::Ready,
+            EntryState::Draining => EndpointState::Draining,
+            EntryState::Removed => EndpointState::Removed,
+        }
+    }
+}
+
+impl From<RequestReceived> for InstanceEvent {
+    fn from(frame: RequestReceived) -> InstanceEvent {
+        let event = Event::RequestReceived(Request {
+            id: frame.request,
+            tenant: frame.tenant.unwrap_or_else(|| "".into()),
+            class: frame.class,
+            plan: frame.plan,
+            cost: frame.cost,
+            // The wire has these whole numbers as floats. The conversion saturates.
+            shard_start: frame.shard_start as u32,
+            shard_size: frame.shard_size as u32,
+            client_deadline_ms: frame.client_deadline_ms,
+            is_retry: frame.flags & RETRY_FLAG != 0,
+        });
+        InstanceEvent {
+            instance: frame.instance,
+            event,
+        }
+    }
+}
+
+impl From<AttemptFinished> for InstanceEvent {
+    fn from(frame: AttemptFinished) -> InstanceEvent {
+        let event = Event::AttemptFinished(AttemptOutcome {
+            request: frame.request,
+            attempt: frame.attempt,
+            endpoint: frame.endpoint,
+            result: frame.status.into(),
+            latency_ms: frame.latency_ms,
+            request_ended: frame.request_ended,
+            metered_use: metered_use(frame.metered_use_code),
+            actual_cost: (frame.actual_cost > 0.0).then_some(frame.actual_cost),
+            load_report: frame.load_report.map(LoadReport::from),
+        });
+        InstanceEvent {
+            instance: frame.instance,
+            event,
+        }
+    }
+}
+
+/// The metered use as a fraction, from its code on the wire: 1 more than the percentage, or 0 if there is none.
+fn metered_use(code: u32) -> Option<f64> {
+    let percentage = code.checked_sub(1)?;
+    Some(f64::from(percentage) / 100.0)
+}
+
+impl From<Status> for AttemptResult {
+    fn from(status: Status) -> AttemptResult {
+        match status {
+            Status::Success => AttemptResult::Success,
+            Status::Error => AttemptResult::Error,
+            Status::Overloaded => AttemptResult::Overloaded,
+            Status::TimedOut => AttemptResult::TimedOut,
+            Status::ConnectFailed => AttemptResult::ConnectFailed,
+            Status::ConnectionReset => AttemptResult::ConnectionReset,
+            Status::Cancelled => AttemptResult::Cancelled,
+            Status::NeverSent => AttemptResult::NeverSent,
+        }
+    }
+}
+
+impl From<LoadReportFrame> for LoadReport {
+    fn from(frame: LoadReportFrame) -> LoadReport {
+        LoadReport {
+            in_flight: frame.in_flight,
+            utilization: frame.utilization,
+            requests_per_second: frame.requests_per_second,
+        }
+    }
+}
+
+impl From<HealthChecked> for InstanceEvent {
+    fn from(frame: HealthChecked) -> InstanceEvent {
+        let event = Event::HealthChecked {
+            endpoint: frame.endpoint,
+            ok: frame.status == Status::Success,
+            load_report: frame.load_report.map(LoadReport::from),
+        };
+        InstanceEvent {
+            instance: frame.instance,
+            event,
+        }
+    }
+}
+
+impl From<ClientDisconnected> for InstanceEvent {
+    fn from(frame: ClientDisconnected) -> InstanceEvent {
+        let event = Event::ClientDisconnected {
+            request: frame.request,
+        };
+        InstanceEvent {
+            instance: frame.instance,
+            event,
+        }
+    }
+}
+
+impl From<GossipReceived> for InstanceEvent {
+    fn from(frame: GossipReceived) -> InstanceEvent {
+        let event = Event::GossipReceived {
+            from: frame.from,
+            text: frame.text,
+        };
+        InstanceEvent {
+            instance: frame.instance,
+            event,
+        }
+    }
+}
+
+impl From<TimerFired> for InstanceEvent {
+    fn from(frame: TimerFired) -> InstanceEvent {
+        let event = Event::TimerFired { token: frame.token };
+        InstanceEvent {
+            instance: frame.instance,
+            event,
+        }
+    }
+}
+
+/// The line that asks the simulator to carry out an action of an instance.
+pub fn reply<'a>(instance: &'a str, action: &'a Action) -> Reply<'a> {
+    match action {
+        Action::Forward {
+            request,
+            endpoint,
+            deadline_ms,
+        } => Reply::Forward {
+            instance,
+            request: *request,
+            endpoint,
+            deadline_ms: *deadline_ms,
+        },
+        Action::Reject {
+            request,
+            retry_after_ms,
+        } => Reply::Reject {
+            instance,
+            request: *request,
+            retry_after_ms: *retry_after_ms,
+        },
+        Action::Fail { request } => Reply::Fail {
+            instance,
+            request: *request,
+        },
+        Action::SendGossip { to, text } => Reply::SendGossip {
+            instance,
+            to: *to,
+            text,
+        },
+        Action::SetTimer { token, delay_ms } => Reply::SetTimer {
+            instance,
+            token: *token,
+            delay_ms: *delay_ms,
+        },
+    }
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,116 +1,389 @@
-//! The adapter, fed frames as a host would.
+//! The simulator adapter as a process: frames in, lines out.
 
+use serde_json::Value;
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-const CONF: &str = r#"{"Balancers":1,"Me":0,"Classes":[{"Name":"r","Target":500.0,"Deadline":1000.0,"Effect":"repeatable","Worth":1.0}],"Plans":[{"Name":"p","UnitsPerS":10.0,"PeakUnits":20.0,"ValueFactor":1.0}],"Later":{"unknown":[1]}}"#;
+const SETTINGS: &str = r#"{"Balancers":1,"Me":0,"Classes":[{"Name":"r","Target":500.0,"Deadline":1000.0,"Effect":"repeatable","Worth":1.0}],"Plans":[{"Name":"p","UnitsPerS":10.0,"PeakUnits":20.0,"ValueFactor":1.0}],"Later":{"unknown":[1]}}"#;
 
-/// Runs the adapter on these lines: exit success, standard output, standard error.
-fn talk(lines: &[String]) -> (bool, String, String) {
+/// What the adapter has left behind at its end.
+struct Run {
+    success: bool,
+    output: String,
+    errors: String,
+}
+
+/// Runs the adapter on these lines.
+fn run_adapter(lines: &[String]) -> Run {
     let mut child = Command::new(env!("CARGO_BIN_EXE_marlshelf-simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
         .expect("the adapter starts");
-    let mut input = child.stdin.take().expect("piped");
-    // A complaint may end the adapter before all is read.
+    let mut input = child.stdin.take().expect("standard input is piped");
+    // An error may end the adapter before it has read everything.
     let _ = input.write_all((lines.join("\n") + "\n").as_bytes());
     drop(input);
-    let out = child.wait_with_output().expect("the adapter ends");
-    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
-    (out.status.success(), text(out.stdout), text(out.stderr))
+    let output = child.wait_with_output().expect("the adapter ends");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("the output is text");
+    Run {
+        success: output.status.success(),
+        output: text(output.stdout),
+        errors: text(output.stderr),
+    }
 }
 
-fn begin(n: u64) -> String {
-    format!(r#"{{"kind":"BeginBatch","Clock":{}.0,"n":{n}}}"#, 100 * n)
+fn begin_batch(number: u64) -> String {
+    format!(
+        r#"{{"kind":"BeginBatch","Clock":{}.0,"n":{number}}}"#,
+        100 * number
+    )
 }
 
-fn eob() -> String {
+fn end_batch() -> String {
     r#"{"kind":"Eob"}"#.into()
 }
 
-fn start(me: u32) -> Vec<String> {
+/// A batch of these frames.
+fn batch(number: u64, frames: impl IntoIterator<Item = String>) -> Vec<String> {
+    let mut lines = vec![begin_batch(number)];
+    lines.extend(frames);
+    lines.push(end_batch());
+    lines
+}
+
+fn endpoint_list() -> String {
+    r#"{"kind":"Directory","Sheet":0,"Records":[{"Worker":"worker.a","Share":1,"RegionPart":0,"Pod":0,"FamilyType":0,"Health":"up"}]}"#.into()
+}
+
+fn start_instance(instance: u32, settings: &str) -> String {
+    format!(
+        r#"{{"kind":"Hello","GatekeeperId":"gatekeeper_{instance}","Prng":7,"Conf":{settings}}}"#
+    )
+}
+
+fn endpoints_changed(instance: u32, form: &str) -> String {
+    format!(
+        r#"{{"kind":"DirectoryUpdate","GatekeeperId":"gatekeeper_{instance}","Form":"{form}","Version":1,"Sheet":0}}"#
+    )
+}
+
+/// Starts an instance that knows one endpoint.
+fn start_with_endpoint(instance: u32) -> Vec<String> {
     vec![
-        r#"{"kind":"Directory","Sheet":0,"Records":[{"Worker":"worker.a","Share":1,"RegionPart":0,"Pod":0,"FamilyType":0,"Health":"up"}]}"#.into(),
-        format!(r#"{{"kind":"Hello","GatekeeperId":"gatekeeper_{me}","Prng":7,"Conf":{CONF}}}"#),
-        format!(r#"{{"kind":"DirectoryUpdate","GatekeeperId":"gatekeeper_{me}","Form":"disk","Version":1,"Sheet":0}}"#),
+        endpoint_list(),
+        start_instance(instance, SETTINGS),
+        endpoints_changed(instance, "disk"),
     ]
 }
 
-fn incoming(me: u32, id: u64) -> String {
+fn request(instance: u32, id: u64) -> String {
     format!(
-        r#"{{"kind":"Incoming","GatekeeperId":"gatekeeper_{me}","RequestId":{id},"First":0,"GiveUpAt":2000.0,"Weight":1,"Band":0,"ClientId":"key:x","StateBits":0,"Tier":0,"Doors":1,"Novel":true}}"#
+        r#"{{"kind":"Incoming","GatekeeperId":"gatekeeper_{instance}","RequestId":{id},"First":0,"GiveUpAt":2000.0,"Weight":1,"Band":0,"ClientId":"key:x","StateBits":0,"Tier":0,"Doors":1,"Novel":true}}"#
     )
 }
 
+fn attempt_finished(id: u64, ending: &str, further_keys: &str) -> String {
+    format!(
+        r#"{{"kind":"Done","GatekeeperId":"gatekeeper_0","RequestId":{id},"Trial":0,"Worker":"worker.a","Ending":"{ending}"{further_keys}}}"#
+    )
+}
+
+/// A frame of which only the kind, the instance and some further keys matter.
+fn frame(kind: &str, instance: u32, further_keys: &str) -> String {
+    format!(r#"{{"kind":"{kind}","GatekeeperId":"gatekeeper_{instance}"{further_keys}}}"#)
+}
+
 #[test]
-fn a_conversation_is_answered_batch_by_batch() {
-    let mut lines = vec![begin(1), eob(), begin(2)];
-    lines.extend(start(0));
-    lines.extend([incoming(0, 41), eob(), begin(3)]);
-    lines.push(r#"{"kind":"Done","GatekeeperId":"gatekeeper_0","RequestId":41,"Trial":0,"Worker":"worker.a","Ending":"OK","Latency":9.5,"Terminal":true}"#.into());
-    lines.push(r#"{"kind":"Retire","GatekeeperId":"gatekeeper_0"}"#.into());
-    lines.push(eob());
-    let (ok, out, err) = talk(&lines);
-    assert!(ok && err.is_empty(), "{err}");
-    let replies: Vec<&str> = out.lines().collect();
+fn each_batch_is_answered_with_its_actions_and_its_number() {
+    let mut lines = batch(1, []);
+    let mut frames = start_with_endpoint(0);
+    frames.push(request(0, 41));
+    lines.extend(batch(2, frames));
+    let finished = attempt_finished(41, "OK", r#","Latency":9.5,"Terminal":true"#);
+    lines.extend(batch(3, [finished, frame("Retire", 0, "")]));
+    let run = run_adapter(&lines);
+    assert!(run.success && run.errors.is_empty(), "{}", run.errors);
+    let replies: Vec<&str> = run.output.lines().collect();
     assert_eq!(replies.first(), Some(&r#"{"kind":"Ok","n":1}"#));
     assert!(
-        out.contains(r#""kind":"Deliver""#) && out.contains(r#""RequestId":41"#),
-        "{out}"
+        run.output.contains(r#""kind":"Deliver""#) && run.output.contains(r#""RequestId":41"#),
+        "{}",
+        run.output
     );
     assert_eq!(replies.last(), Some(&r#"{"kind":"Ok","n":3}"#));
 }
 
 #[test]
-fn instances_live_apart() {
-    let mut lines = vec![begin(1)];
-    for me in 0..20 {
-        lines.extend(start(me));
+fn instances_do_not_influence_each_other() {
+    let mut frames = Vec::new();
+    for instance in 0..20 {
+        frames.extend(start_with_endpoint(instance));
     }
-    lines.extend((0..20).map(|me| incoming(me, u64::from(me))));
-    lines.push(eob());
-    let (ok, out, _) = talk(&lines);
-    assert!(ok);
-    for me in 0..20 {
-        let own = format!(r#""GatekeeperId":"gatekeeper_{me}","RequestId":{me},"#);
-        assert_eq!(out.matches(&own).count(), 1, "{out}");
+    frames.extend((0..20).map(|instance| request(instance, u64::from(instance))));
+    let run = run_adapter(&batch(1, frames));
+    assert!(run.success);
+    for instance in 0..20 {
+        let own = format!(r#""GatekeeperId":"gatekeeper_{instance}","RequestId":{instance},"#);
+        assert_eq!(run.output.matches(&own).count(), 1, "{}", run.output);
     }
 }
 
 #[test]
-fn bad_input_gets_one_plain_message() {
-    let cases: Vec<(&str, Vec<String>)> = vec![
-        ("not JSON", vec![begin(1), "nonsense".into()]),
-        ("no kind", vec![r#"{"Clock":1}"#.into()]),
-        ("a kind never heard of", vec![begin(1), r#"{"kind":"Sing"}"#.into()]),
-        ("a field missing", vec![r#"{"kind":"BeginBatch","n":1}"#.into()]),
-        ("a wrong type", vec![r#"{"kind":"BeginBatch","Clock":"noon","n":1}"#.into()]),
-        ("an end without a beginning", vec![eob()]),
-        ("a batch in a batch", vec![begin(1), begin(2)]),
-        ("an instance never started", vec![begin(1), incoming(3, 1)]),
-        ("input ends inside a batch", vec![begin(1)]),
-        (
-            "settings without classes",
+fn actions_have_the_keys_of_the_wire_in_a_fixed_order() {
+    let gossiping = SETTINGS
+        .replace(
+            r#""Balancers":1"#,
+            r#""Balancers":2,"Bounds":{"Peers":true},"Domain":{"PeerIntake":100.0}"#,
+        )
+        .replace(r#""repeatable""#, r#""once""#);
+    let peer = gossiping.replace(r#""Me":0"#, r#""Me":1"#);
+    let mut lines = batch(
+        1,
+        [
+            endpoint_list(),
+            start_instance(0, SETTINGS),
+            endpoints_changed(0, "disk"),
+            request(0, 1),
+            // It knows no endpoint, so it can only reject.
+            start_instance(1, SETTINGS),
+            request(1, 2),
+            // The tenant's quota owner is the other gateway, which it asks by gossip.
+            start_instance(2, &gossiping),
+            start_instance(3, &peer),
+            endpoints_changed(2, "disk"),
+            endpoints_changed(3, "disk"),
+            request(2, 3).replace(r#""Doors":1"#, r#""Doors":2"#),
+            request(3, 4).replace(r#""Doors":1"#, r#""Doors":2"#),
+        ],
+    );
+    lines.extend(batch(2, [attempt_finished(1, "OK", r#","Terminal":true"#)]));
+    // The request must not run twice, and it may have run.
+    lines.extend(batch(
+        3,
+        [
+            start_instance(0, &SETTINGS.replace("repeatable", "once")),
+            endpoints_changed(0, "disk"),
+            request(0, 5),
+        ],
+    ));
+    lines.extend(batch(4, [attempt_finished(5, "INTERNAL", "")]));
+    let run = run_adapter(&lines);
+    assert!(run.success, "{}", run.errors);
+    let shapes = [
+        r#"{"kind":"Deliver","GatekeeperId":_,"RequestId":_,"Worker":_,"NotPast":_}"#,
+        r#"{"kind":"Busy","GatekeeperId":_,"RequestId":_,"Pause":_}"#,
+        r#"{"kind":"Lose","GatekeeperId":_,"RequestId":_}"#,
+        r#"{"kind":"Signal","GatekeeperId":_,"NeighbourId":_,"Content":_}"#,
+        r#"{"kind":"SetTimer","GatekeeperId":_,"Nonce":_,"After":_}"#,
+        r#"{"kind":"Ok","n":_}"#,
+    ];
+    let found: Vec<String> = run.output.lines().map(shape).collect();
+    for shape in shapes {
+        assert!(
+            found.iter().any(|other| other == shape),
+            "{shape}: {}",
+            run.output
+        );
+    }
+    for other in &found {
+        assert!(shapes.contains(&other.as_str()), "{other}");
+    }
+}
+
+/// A line with `_` for each value but that of the first key.
+fn shape(line: &str) -> String {
+    let value: Value = serde_json::from_str(line).expect("a line is JSON");
+    let object = value.as_object().expect("a line is an object");
+    // The parsed object does not keep the order of its keys, so they are put in the order of the line.
+    let mut keys: Vec<&String> = object.keys().collect();
+    keys.sort_by_key(|key| line.find(&format!("\"{key}\":")));
+    let fields = keys.iter().skip(1).map(|key| format!(",\"{key}\":_"));
+    format!(
+        "{{\"kind\":{}{}}}",
+        object["kind"],
+        fields.collect::<String>()
+    )
+}
+
+#[test]
+fn every_kind_of_frame_is_accepted() {
+    let mut frames = start_with_endpoint(0);
+    for form in ["diff", "snapshot", "disk", "error"] {
+        frames.push(endpoints_changed(0, form));
+    }
+    // A failed call refers to no list.
+    frames.push(frame("DirectoryUpdate", 0, r#","Form":"error""#));
+    let load_report = r#","Usage":{"outstanding":3,"backlog":1,"utilization":0.5,"recent_ms":8.5,"throughput":90.0,"errors_per_s":0}"#;
+    let endings = [
+        "OK",
+        "INTERNAL",
+        "RESOURCE_EXHAUSTED",
+        "DEADLINE_EXCEEDED",
+        "UNAVAILABLE",
+        "ABORTED",
+        "CANCELLED",
+        "TOO_LATE",
+    ];
+    for (id, ending) in (100..).zip(endings) {
+        frames.push(request(0, id));
+        let figures = format!(r#","Latency":9.5,"SeenUse":86,"Actual":3{load_report}"#);
+        frames.push(attempt_finished(id, ending, &figures));
+        frames.push(frame(
+            "StatusBack",
+            0,
+            &format!(r#","Worker":"worker.a","Latency":1.5,"Ending":"{ending}"{load_report}"#),
+        ));
+    }
+    frames.push(frame(
+        "Incoming",
+        0,
+        r#","RequestId":200,"GiveUpAt":2000.0"#,
+    ));
+    frames.push(frame(
+        "Accepted",
+        0,
+        r#","RequestId":200,"Trial":0,"Worker":"worker.a","Latency":9.25"#,
+    ));
+    frames.push(frame("Lapsed", 0, r#","RequestId":200"#));
+    frames.push(frame("FromPeer", 0, r#","Src":2,"Content":"hi 7""#));
+    frames.push(frame("FromPeer", 0, ""));
+    frames.push(frame(
+        "TallyBack",
+        0,
+        r#","TallyId":9041552,"Ending":"OK","Total":38,"Latency":2.15"#,
+    ));
+    frames.push(frame("Fired", 0, r#","Nonce":77"#));
+    frames.push(frame("Fired", 0, ""));
+    frames.push(frame("Retire", 0, ""));
+    // An instance that does not run may be stopped.
+    frames.push(frame("Retire", 0, ""));
+    let run = run_adapter(&batch(1, frames));
+    assert!(run.success && run.errors.is_empty(), "{}", run.errors);
+    assert_eq!(run.output.lines().last(), Some(r#"{"kind":"Ok","n":1}"#));
+}
+
+struct InvalidInput {
+    what: &'static str,
+    lines: Vec<String>,
+    /// The number of the line that the message names, and the beginning of the message.
+    message: &'static str,
+}
+
+fn invalid(what: &'static str, lines: Vec<String>, message: &'static str) -> InvalidInput {
+    InvalidInput {
+        what,
+        lines,
+        message,
+    }
+}
+
+fn invalid_inputs() -> Vec<InvalidInput> {
+    let without_classes = r#"{"kind":"Hello","GatekeeperId":"gatekeeper_0","Prng":1,"Conf":{"Balancers":1,"Classes":[]}}"#;
+    vec![
+        invalid(
+            "not JSON",
+            vec![begin_batch(1), "nonsense".into()],
+            "line 2: cannot parse the frame: expected ident",
+        ),
+        invalid(
+            "no kind",
+            vec![r#"{"Clock":1}"#.into()],
+            "line 1: cannot parse the frame: missing field `kind`",
+        ),
+        invalid(
+            "an unknown kind",
+            vec![begin_batch(1), r#"{"kind":"Sing"}"#.into()],
+            "line 2: cannot parse the frame: unknown variant `Sing`",
+        ),
+        invalid(
+            "a missing field",
+            vec![r#"{"kind":"BeginBatch","n":1}"#.into()],
+            "line 1: cannot parse the frame: missing field `Clock`",
+        ),
+        invalid(
+            "a wrong type",
+            vec![r#"{"kind":"BeginBatch","Clock":"noon","n":1}"#.into()],
+            "line 1: cannot parse the frame: invalid type: string \"noon\"",
+        ),
+        invalid(
+            "an end without a beginning",
+            vec![end_batch()],
+            "line 1: a frame outside a batch",
+        ),
+        invalid(
+            "an event outside a batch",
+            vec![request(0, 1)],
+            "line 1: a frame outside a batch",
+        ),
+        invalid(
+            "a batch in a batch",
+            vec![begin_batch(1), begin_batch(2)],
+            "line 2: a batch begins inside a batch",
+        ),
+        invalid(
+            "an instance that was never started",
+            vec![begin_batch(1), request(3, 1)],
+            "line 2: an event for gatekeeper_3, which has not been started",
+        ),
+        invalid(
+            "an instance that was stopped",
             vec![
-                begin(1),
-                r#"{"kind":"Hello","GatekeeperId":"gatekeeper_0","Prng":1,"Conf":{"Balancers":1,"Classes":[]}}"#
-                    .into(),
+                begin_batch(1),
+                start_instance(0, SETTINGS),
+                frame("Retire", 0, ""),
+                String::new(),
+                frame("Accepted", 0, ""),
             ],
+            "line 5: an event for gatekeeper_0, which has not been started",
         ),
-    ];
-    for (what, lines) in cases {
-        let (ok, out, err) = talk(&lines);
-        assert!(!ok, "{what} passes");
-        assert_eq!(err.lines().count(), 1, "{what}: {err}");
-        assert!(err.contains("line "), "{what}: {err}");
-        assert!(out.is_empty(), "{what}: {out}");
+        invalid(
+            "a failed call of discovery for an instance that was never started",
+            vec![begin_batch(1), endpoints_changed(4, "error")],
+            "line 2: an event for gatekeeper_4, which has not been started",
+        ),
+        invalid(
+            "an endpoint list that was never sent",
+            vec![
+                begin_batch(1),
+                start_instance(0, SETTINGS),
+                endpoints_changed(0, "diff"),
+            ],
+            "line 3: there is no endpoint list with the number 0",
+        ),
+        invalid(
+            "the input ends inside a batch",
+            vec![begin_batch(1)],
+            "line 1: the input ends inside a batch",
+        ),
+        invalid(
+            "settings without classes",
+            vec![begin_batch(1), without_classes.into()],
+            "line 2: cannot start gatekeeper_0: settings: there is no request class",
+        ),
+    ]
+}
+
+#[test]
+fn invalid_input_is_reported_in_one_line_that_names_its_place() {
+    for InvalidInput {
+        what,
+        lines,
+        message,
+    } in invalid_inputs()
+    {
+        let run = run_adapter(&lines);
+        assert!(!run.success, "{what} passes");
+        assert_eq!(run.errors.lines().count(), 1, "{what}: {}", run.errors);
+        let expected = format!("marlshelf-simulator-adapter: {message}");
+        assert!(run.errors.starts_with(&expected), "{what}: {}", run.errors);
+        assert!(run.output.is_empty(), "{what}: {}", run.output);
     }
 }
 
 #[test]
-fn the_end_of_input_is_a_clean_exit() {
-    let (ok, out, err) = talk(&[]);
-    assert!(ok && out.is_empty() && err.is_empty());
+fn the_end_of_input_between_batches_is_a_success() {
+    let run = run_adapter(&[]);
+    assert!(run.success && run.output.is_empty() && run.errors.is_empty());
 }
