Split the long test functions of the adapter and the settings

Sample conversations, frames and expected values are functions of their own now; all cases and all checks stay.

--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -130,8 +130,8 @@
     }
 }
 
-#[test]
-fn actions_have_the_keys_of_the_wire_in_a_fixed_order() {
+/// A conversation in which the instances ask for every kind of action.
+fn conversation_with_every_action() -> Vec<String> {
     let gossiping = SETTINGS
         .replace(
             r#""Balancers":1"#,
@@ -169,7 +169,12 @@
         ],
     ));
     lines.extend(batch(4, [attempt_finished(5, "INTERNAL", "")]));
-    let run = run_adapter(&lines);
+    lines
+}
+
+#[test]
+fn actions_have_the_keys_of_the_wire_in_a_fixed_order() {
+    let run = run_adapter(&conversation_with_every_action());
     assert!(run.success, "{}", run.errors);
     let shapes = [
         r#"{"kind":"Deliver","GatekeeperId":_,"RequestId":_,"Worker":_,"NotPast":_}"#,
@@ -207,15 +212,10 @@
     )
 }
 
-#[test]
-fn every_kind_of_frame_is_accepted() {
-    let mut frames = start_with_endpoint(0);
-    for form in ["diff", "snapshot", "disk", "error"] {
-        frames.push(endpoints_changed(0, form));
-    }
-    // A failed call refers to no list.
-    frames.push(frame("DirectoryUpdate", 0, r#","Form":"error""#));
-    let load_report = r#","Usage":{"outstanding":3,"backlog":1,"utilization":0.5,"recent_ms":8.5,"throughput":90.0,"errors_per_s":0}"#;
+const LOAD_REPORT: &str = r#","Usage":{"outstanding":3,"backlog":1,"utilization":0.5,"recent_ms":8.5,"throughput":90.0,"errors_per_s":0}"#;
+
+/// Requests with an attempt and a health check for every ending that the wire knows.
+fn frames_with_every_ending() -> Vec<String> {
     let endings = [
         "OK",
         "INTERNAL",
@@ -226,48 +226,55 @@
         "CANCELLED",
         "TOO_LATE",
     ];
+    let mut frames = Vec::new();
     for (id, ending) in (100..).zip(endings) {
+        let figures = format!(r#","Latency":9.5,"SeenUse":86,"Actual":3{LOAD_REPORT}"#);
+        let health =
+            format!(r#","Worker":"worker.a","Latency":1.5,"Ending":"{ending}"{LOAD_REPORT}"#);
         frames.push(request(0, id));
-        let figures = format!(r#","Latency":9.5,"SeenUse":86,"Actual":3{load_report}"#);
         frames.push(attempt_finished(id, ending, &figures));
-        frames.push(frame(
-            "StatusBack",
-            0,
-            &format!(r#","Worker":"worker.a","Latency":1.5,"Ending":"{ending}"{load_report}"#),
-        ));
+        frames.push(frame("StatusBack", 0, &health));
     }
-    frames.push(frame(
-        "Incoming",
-        0,
-        r#","RequestId":200,"GiveUpAt":2000.0"#,
-    ));
-    frames.push(frame(
-        "Accepted",
-        0,
-        r#","RequestId":200,"Trial":0,"Worker":"worker.a","Latency":9.25"#,
-    ));
-    frames.push(frame("Lapsed", 0, r#","RequestId":200"#));
-    frames.push(frame("FromPeer", 0, r#","Src":2,"Content":"hi 7""#));
-    frames.push(frame("FromPeer", 0, ""));
-    frames.push(frame(
-        "TallyBack",
-        0,
-        r#","TallyId":9041552,"Ending":"OK","Total":38,"Latency":2.15"#,
-    ));
-    frames.push(frame("Fired", 0, r#","Nonce":77"#));
-    frames.push(frame("Fired", 0, ""));
-    frames.push(frame("Retire", 0, ""));
-    // An instance that does not run may be stopped.
-    frames.push(frame("Retire", 0, ""));
+    frames
+}
+
+#[test]
+fn every_kind_of_frame_is_accepted() {
+    let mut frames = start_with_endpoint(0);
+    frames.extend(["diff", "snapshot", "disk", "error"].map(|form| endpoints_changed(0, form)));
+    frames.extend(frames_with_every_ending());
+    let further_frames = [
+        // A failed call refers to no list.
+        ("DirectoryUpdate", r#","Form":"error""#),
+        ("Incoming", r#","RequestId":200,"GiveUpAt":2000.0"#),
+        (
+            "Accepted",
+            r#","RequestId":200,"Trial":0,"Worker":"worker.a","Latency":9.25"#,
+        ),
+        ("Lapsed", r#","RequestId":200"#),
+        ("FromPeer", r#","Src":2,"Content":"hi 7""#),
+        ("FromPeer", ""),
+        (
+            "TallyBack",
+            r#","TallyId":9041552,"Ending":"OK","Total":38,"Latency":2.15"#,
+        ),
+        ("Fired", r#","Nonce":77"#),
+        ("Fired", ""),
+        ("Retire", ""),
+        // An instance that does not run may be stopped.
+        ("Retire", ""),
+    ];
+    frames.extend(further_frames.map(|(kind, keys)| frame(kind, 0, keys)));
     let run = run_adapter(&batch(1, frames));
     assert!(run.success && run.errors.is_empty(), "{}", run.errors);
     assert_eq!(run.output.lines().last(), Some(r#"{"kind":"Ok","n":1}"#));
 }
 
+/// Input that must end the adapter with failure.
 struct InvalidInput {
     what: &'static str,
     lines: Vec<String>,
-    /// The number of the line that the message names, and the beginning of the message.
+    /// How the message must begin.
     message: &'static str,
 }
 
@@ -279,7 +286,7 @@
     }
 }
 
-fn invalid_inputs() -> Vec<InvalidInput> {
+fn malformed_frames() -> Vec<InvalidInput> {
     let without_classes = r#"{"kind":"Hello","GatekeeperId":"gatekeeper_0","Prng":1,"Conf":{"Balancers":1,"Classes":[]}}"#;
     vec![
         invalid(
@@ -307,6 +314,16 @@
             vec![r#"{"kind":"BeginBatch","Clock":"noon","n":1}"#.into()],
             "line 1: cannot parse the frame: invalid type: string \"noon\"",
         ),
+        invalid(
+            "settings without classes",
+            vec![begin_batch(1), without_classes.into()],
+            "line 2: cannot start gatekeeper_0: settings: there is no request class",
+        ),
+    ]
+}
+
+fn frames_outside_their_batch() -> Vec<InvalidInput> {
+    vec![
         invalid(
             "an end without a beginning",
             vec![end_batch()],
@@ -322,6 +339,16 @@
             vec![begin_batch(1), begin_batch(2)],
             "line 2: a batch begins inside a batch",
         ),
+        invalid(
+            "the input ends inside a batch",
+            vec![begin_batch(1)],
+            "line 1: the input ends inside a batch",
+        ),
+    ]
+}
+
+fn frames_for_missing_state() -> Vec<InvalidInput> {
+    vec![
         invalid(
             "an instance that was never started",
             vec![begin_batch(1), request(3, 1)],
@@ -352,26 +379,21 @@
             ],
             "line 3: there is no endpoint list with the number 0",
         ),
-        invalid(
-            "the input ends inside a batch",
-            vec![begin_batch(1)],
-            "line 1: the input ends inside a batch",
-        ),
-        invalid(
-            "settings without classes",
-            vec![begin_batch(1), without_classes.into()],
-            "line 2: cannot start gatekeeper_0: settings: there is no request class",
-        ),
     ]
 }
 
 #[test]
 fn invalid_input_is_reported_in_one_line_that_names_its_place() {
+    let inputs = [
+        malformed_frames(),
+        frames_outside_their_batch(),
+        frames_for_missing_state(),
+    ];
     for InvalidInput {
         what,
         lines,
         message,
-    } in invalid_inputs()
+    } in inputs.into_iter().flatten()
     {
         let run = run_adapter(&lines);
         assert!(!run.success, "{what} passes");
--- a/tests/settings/documents.rs
+++ b/tests/settings/documents.rs
@@ -4,7 +4,8 @@
     COMPLETE_SETTINGS, REQUIRED_SETTINGS, both_documents, class, complete_settings, parse,
 };
 use marlshelf::{
-    DeduplicationScope, DiscoveryMode, Idempotency, IdempotencyDocument, Settings, SettingsDocument,
+    ClassDocument, DeduplicationScope, DiscoveryMode, Idempotency, IdempotencyDocument,
+    LimitsDocument, RulesDocument, Settings, SettingsDocument,
 };
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -17,58 +18,66 @@
             .settings()
             .validate()
             .expect("the settings are valid");
-
+        assert_complete_names(&document);
+        assert_complete_classes(&document.classes);
         assert_eq!(document.gateway_count(), 7);
-        assert_eq!(document.zones, ["north", "south", "west"]);
-        assert_eq!(document.hardware_kinds, ["large", "small"]);
         assert_eq!(document.discovery_mode, DiscoveryMode::Subscribe);
         // The longest deadline is 2500 ms, and the platform adds 700 ms.
         assert_eq!(document.termination_grace(), Duration::from_millis(3200));
-
-        let class_names: Vec<&str> = document
-            .classes
-            .iter()
-            .map(|class| class.name.as_str())
-            .collect();
-        assert_eq!(
-            class_names,
-            ["read", "write", "keyed-all", "keyed-zone", "keyed-cell"]
-        );
-        let deadlines: Vec<f64> = document
-            .classes
-            .iter()
-            .map(|class| class.deadline_ms)
-            .collect();
-        assert_eq!(deadlines, [2100.0, 2200.0, 2300.0, 2400.0, 2500.0]);
-        let idempotency: Vec<_> = document
-            .classes
-            .iter()
-            .map(|class| class.idempotency)
-            .collect();
-        let keyed = IdempotencyDocument::Keyed;
+        let LimitsDocument {
+            connect_timeout_ms,
+            idle_connection_timeout_ms,
+            max_active_requests,
+            ..
+        } = document.limits;
         assert_eq!(
-            idempotency[..2],
-            [
-                IdempotencyDocument::Idempotent,
-                IdempotencyDocument::NonIdempotent
-            ]
+            [connect_timeout_ms, idle_connection_timeout_ms],
+            [310.0, 21_000.0]
         );
-        assert_eq!(idempotency[2..], [keyed, keyed, keyed]);
-        let plan_names: Vec<&str> = document
-            .plans
-            .iter()
-            .map(|plan| plan.name.as_str())
-            .collect();
-        assert_eq!(plan_names, ["basic", "extra"]);
-
-        assert_eq!(document.limits.connect_timeout_ms, 310.0);
-        assert_eq!(document.limits.idle_connection_timeout_ms, 21_000.0);
-        assert_eq!(document.limits.max_active_requests, 12_345);
-        assert_eq!(document.rules.drain_grace_ms, 450.0);
-        assert_eq!(document.rules.max_poll_interval_ms, 9000.0);
+        assert_eq!(max_active_requests, 12_345);
+        let RulesDocument {
+            drain_grace_ms,
+            max_poll_interval_ms,
+            ..
+        } = document.rules;
+        assert_eq!([drain_grace_ms, max_poll_interval_ms], [450.0, 9000.0]);
     }
 }
 
+fn assert_complete_names(document: &SettingsDocument) {
+    assert_eq!(document.zones, ["north", "south", "west"]);
+    assert_eq!(document.hardware_kinds, ["large", "small"]);
+    let classes: Vec<&str> = document
+        .classes
+        .iter()
+        .map(|class| class.name.as_str())
+        .collect();
+    assert_eq!(
+        classes,
+        ["read", "write", "keyed-all", "keyed-zone", "keyed-cell"]
+    );
+    let plans: Vec<&str> = document
+        .plans
+        .iter()
+        .map(|plan| plan.name.as_str())
+        .collect();
+    assert_eq!(plans, ["basic", "extra"]);
+}
+
+fn assert_complete_classes(classes: &[ClassDocument]) {
+    let deadlines: Vec<f64> = classes.iter().map(|class| class.deadline_ms).collect();
+    assert_eq!(deadlines, [2100.0, 2200.0, 2300.0, 2400.0, 2500.0]);
+    let idempotency: Vec<_> = classes.iter().map(|class| class.idempotency).collect();
+    let expected = [
+        IdempotencyDocument::Idempotent,
+        IdempotencyDocument::NonIdempotent,
+        IdempotencyDocument::Keyed,
+        IdempotencyDocument::Keyed,
+        IdempotencyDocument::Keyed,
+    ];
+    assert_eq!(idempotency, expected);
+}
+
 #[test]
 fn both_forms_of_required_settings_give_the_defaults() {
     let expected = Settings {
@@ -88,24 +97,39 @@
             .settings()
             .validate()
             .expect("the settings are valid");
-
+        assert_empty_lists(&document);
         assert_eq!(document.gateway_count(), 1);
-        assert!(document.zones.is_empty());
-        assert!(document.hardware_kinds.is_empty());
-        assert!(document.plans.is_empty());
         assert_eq!(document.discovery_mode, DiscoveryMode::Automatic);
         // No deadline is stated, so the longest wait of 3000 ms counts.
         assert_eq!(document.termination_grace(), Duration::from_millis(3700));
         assert_eq!(document.classes[0].name, "");
         assert_eq!(document.classes[0].deadline_ms, 0.0);
-        assert_eq!(document.limits.connect_timeout_ms, 250.0);
-        assert_eq!(document.limits.idle_connection_timeout_ms, 15_000.0);
-        assert_eq!(document.limits.max_active_requests, 20_000);
-        assert_eq!(document.rules.drain_grace_ms, 500.0);
-        assert_eq!(document.rules.max_poll_interval_ms, 10_000.0);
+        let LimitsDocument {
+            connect_timeout_ms,
+            idle_connection_timeout_ms,
+            max_active_requests,
+            ..
+        } = document.limits;
+        assert_eq!(
+            [connect_timeout_ms, idle_connection_timeout_ms],
+            [250.0, 15_000.0]
+        );
+        assert_eq!(max_active_requests, 20_000);
+        let RulesDocument {
+            drain_grace_ms,
+            max_poll_interval_ms,
+            ..
+        } = document.rules;
+        assert_eq!([drain_grace_ms, max_poll_interval_ms], [500.0, 10_000.0]);
     }
 }
 
+fn assert_empty_lists(document: &SettingsDocument) {
+    assert!(document.zones.is_empty());
+    assert!(document.hardware_kinds.is_empty());
+    assert!(document.plans.is_empty());
+}
+
 #[test]
 fn missing_required_keys_are_rejected() {
     for (section, key) in [
--- a/tests/settings/samples.rs
+++ b/tests/settings/samples.rs
@@ -129,53 +129,8 @@
         gateway: 6,
         gateway_count: 7,
         zone: 2,
-        classes: vec![
-            class(2.5, 410.5, 0.25, Idempotency::Idempotent, 5100.0),
-            class(3.5, 620.0, 0.5, Idempotency::NonIdempotent, 5200.0),
-            class(
-                4.5,
-                630.0,
-                0.0,
-                Idempotency::Keyed(DeduplicationScope::All),
-                5300.0,
-            ),
-            class(
-                5.5,
-                640.0,
-                0.125,
-                Idempotency::Keyed(DeduplicationScope::Zone),
-                5400.0,
-            ),
-            class(
-                6.5,
-                650.0,
-                0.75,
-                Idempotency::Keyed(DeduplicationScope::Cell),
-                5500.0,
-            ),
-        ],
-        plans: vec![
-            Plan {
-                refill_rate: 1.25,
-                burst: 14.0,
-                max_concurrency: 3,
-                weight: 0.875,
-                over_quota_penalty: 0.6,
-                hard_limit_rate: 31.0,
-                hard_limit_burst: 71.0,
-                hard_limit_slack: 8.0,
-            },
-            Plan {
-                refill_rate: 6.5,
-                burst: 22.0,
-                max_concurrency: 0,
-                weight: 1.75,
-                over_quota_penalty: 1.5,
-                hard_limit_rate: 0.0,
-                hard_limit_burst: 0.0,
-                hard_limit_slack: 0.0,
-            },
-        ],
+        classes: complete_classes(),
+        plans: complete_plans(),
         max_attempts: 5,
         gossip_enabled: true,
         max_request_cost: 9.0,
@@ -185,3 +140,38 @@
         warmup_overload_multiple: 3.5,
     }
 }
+
+fn complete_classes() -> Vec<RequestClass> {
+    let keyed = Idempotency::Keyed;
+    vec![
+        class(2.5, 410.5, 0.25, Idempotency::Idempotent, 5100.0),
+        class(3.5, 620.0, 0.5, Idempotency::NonIdempotent, 5200.0),
+        class(4.5, 630.0, 0.0, keyed(DeduplicationScope::All), 5300.0),
+        class(5.5, 640.0, 0.125, keyed(DeduplicationScope::Zone), 5400.0),
+        class(6.5, 650.0, 0.75, keyed(DeduplicationScope::Cell), 5500.0),
+    ]
+}
+
+fn complete_plans() -> Vec<Plan> {
+    let basic = Plan {
+        refill_rate: 1.25,
+        burst: 14.0,
+        max_concurrency: 3,
+        weight: 0.875,
+        over_quota_penalty: 0.6,
+        hard_limit_rate: 31.0,
+        hard_limit_burst: 71.0,
+        hard_limit_slack: 8.0,
+    };
+    let extra = Plan {
+        refill_rate: 6.5,
+        burst: 22.0,
+        max_concurrency: 0,
+        weight: 1.75,
+        over_quota_penalty: 1.5,
+        hard_limit_rate: 0.0,
+        hard_limit_burst: 0.0,
+        hard_limit_slack: 0.0,
+    };
+    vec![basic, extra]
+}
--- a/tests/settings/validation.rs
+++ b/tests/settings/validation.rs
@@ -21,7 +21,9 @@
             section: $section,
             field: stringify!($field),
             key: $key,
-            set: |settings, value| settings$(.$list[$index])?.$field = value,
+            set: |settings, value| {
+                settings$(.$list[$index])?.$field = value;
+            },
         }
     };
 }
@@ -185,27 +187,37 @@
         },
         Fault {
             what: "no gateways",
-            introduce: |settings| settings.gateway_count = 0,
+            introduce: |settings| {
+                settings.gateway_count = 0;
+            },
             error: SettingsError::NoGateways,
         },
         Fault {
             what: "no latency objective",
-            introduce: |settings| settings.classes[1].latency_objective_ms = 0.0,
+            introduce: |settings| {
+                settings.classes[1].latency_objective_ms = 0.0;
+            },
             error: SettingsError::NoLatencyObjective { class: 1 },
         },
         Fault {
             what: "a latency objective of negative zero",
-            introduce: |settings| settings.classes[4].latency_objective_ms = -0.0,
+            introduce: |settings| {
+                settings.classes[4].latency_objective_ms = -0.0;
+            },
             error: SettingsError::NoLatencyObjective { class: 4 },
         },
         Fault {
             what: "a keyed class without a window",
-            introduce: |settings| settings.classes[3].deduplication_window_ms = 0.0,
+            introduce: |settings| {
+                settings.classes[3].deduplication_window_ms = 0.0;
+            },
             error: SettingsError::NoDeduplicationWindow { class: 3 },
         },
         Fault {
             what: "a rate without a burst",
-            introduce: |settings| settings.plans[1].burst = 0.0,
+            introduce: |settings| {
+                settings.plans[1].burst = 0.0;
+            },
             error: SettingsError::RateWithoutBurst {
                 plan: 1,
                 refill_rate: 6.5,
@@ -241,20 +253,22 @@
             settings.plans[0].burst = 0.0;
         }),
         ("no window of an idempotent class", |settings| {
-            settings.classes[0].deduplication_window_ms = 0.0
+            settings.classes[0].deduplication_window_ms = 0.0;
         }),
         ("no window of a non-idempotent class", |settings| {
-            settings.classes[1].deduplication_window_ms = 0.0
+            settings.classes[1].deduplication_window_ms = 0.0;
+        }),
+        ("no limit of attempts", |settings| {
+            settings.max_attempts = 0;
         }),
-        ("no limit of attempts", |settings| settings.max_attempts = 0),
         ("a gateway beyond the fleet", |settings| {
-            settings.gateway = 99
+            settings.gateway = 99;
         }),
         ("a negative greatest cost", |settings| {
-            settings.max_request_cost = -1.0
+            settings.max_request_cost = -1.0;
         }),
         ("a greatest cost that is not a number", |settings| {
-            settings.max_request_cost = f64::NAN
+            settings.max_request_cost = f64::NAN;
         }),
     ];
     for (what, change) in accepted {
