--- a/tests/decisions/support/recorded_scenario.rs
+++ b/tests/decisions/support/recorded_scenario.rs
@@ -273,7 +273,6 @@
             Action::SetTimer { token, delay_ms } => {
                 self.schedule(now_ms + delay_ms, gateway, Event::TimerFired { token });
             }
-            _ => {}
         }
     }
 }
