Split the event loop and the endpoint side of the gateway into modules with one job

A reader could not say which code owned which state.

Endpoint connections and the gossip socket now report typed events to a trait that they define themselves, and the event loop implements these traits.

The tests of the event loop are named for condition and result. Two new tests cover what the gossip socket receives and sends.

--- a/src/gateway/gossip_socket.rs
+++ b/src/gateway/gossip_socket.rs
@@ -1,14 +1,25 @@
-//! Notes between gatekeepers: one UDP socket, datagrams of at most 256 bytes.
+//! Gossip between the gateways of a fleet: one UDP socket, datagrams of at most 256 bytes.
 
-use crate::gateway::event_loop::GatewayHandle;
+use crate::GatewayId;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
-/// A longer datagram voids the run, and none is taken in.
+/// The longest datagram that is sent or accepted. The users' rules allow no longer one.
 pub const MAX_DATAGRAM_BYTES: usize = 256;
+/// Pause after a failed receive. Most errors report an earlier datagram that could not be delivered; one that lasts
+/// must not make the task spin.
+const RECEIVE_ERROR_PAUSE: Duration = Duration::from_millis(1);
 
-/// The way to the other gatekeepers of the tier.
+/// Receives the gossip of the other gateways.
+pub trait GossipHandler {
+    /// Handles one datagram. `from` is the gateway whose address it came from.
+    fn handle_gossip(&self, from: GatewayId, text: &str);
+}
+
+/// The socket that connects this gateway with the others. Clones share the socket.
 #[derive(Clone)]
 pub struct GossipSocket {
     socket: Rc<UdpSocket>,
@@ -16,7 +27,7 @@
 }
 
 impl GossipSocket {
-    /// Takes notes on this socket, and sends them to these addresses, by number.
+    /// Uses this socket to talk to the gateways at these addresses, which are listed in the order of their ids.
     pub fn new(socket: UdpSocket, addresses: Vec<SocketAddr>) -> GossipSocket {
         GossipSocket {
             socket: Rc::new(socket),
@@ -24,8 +35,8 @@
         }
     }
 
-    /// Sends a note if the socket takes it now. Notes may be lost, so nothing waits for one.
-    pub fn send(&self, to: u32, text: &str) {
+    /// Sends a datagram if the socket takes it now. Gossip may be lost, so nothing waits for it.
+    pub fn send(&self, to: GatewayId, text: &str) {
         if let Some(address) = self.addresses.get(to as usize)
             && text.len() <= MAX_DATAGRAM_BYTES
         {
@@ -33,28 +44,30 @@
         }
     }
 
-    /// The task that takes notes in.
-    pub async fn listen(self, gateway: GatewayHandle, me: u32) {
-        let mut bytes = [0u8; MAX_DATAGRAM_BYTES + 1];
+    /// Receives gossip for ever and hands it to `handler`. Datagrams from unknown addresses or from this gateway
+    /// itself, too long ones, and those that are not UTF-8 are dropped.
+    pub async fn listen<H: GossipHandler>(self, handler: Rc<H>, own_id: GatewayId) {
+        // One byte more than allowed shows that a datagram is too long.
+        let mut buffer = [0u8; MAX_DATAGRAM_BYTES + 1];
         loop {
-            // An error is an earlier note that could not be delivered, or lasting: then this must not spin.
-            let Ok((len, from)) = self.socket.recv_from(&mut bytes).await else {
-                tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+            let Ok((length, address)) = self.socket.recv_from(&mut buffer).await else {
+                sleep(RECEIVE_ERROR_PAUSE).await;
                 continue;
             };
-            // Only peers are heard, and only in words that may be a note.
-            let known = self
-                .addresses
-                .iter()
-                .position(|a| *a == from)
-                .and_then(|k| u32::try_from(k).ok());
-            let Some(from) = known.filter(|k| *k != me && len <= MAX_DATAGRAM_BYTES) else {
+            let Some(from) = self.gateway_at(address).filter(|id| *id != own_id) else {
                 continue;
             };
-            let Ok(text) = std::str::from_utf8(&bytes[..len]) else {
+            if length > MAX_DATAGRAM_BYTES {
                 continue;
-            };
-            gateway.borrow_mut().gossip_received(from, text);
+            }
+            if let Ok(text) = std::str::from_utf8(&buffer[..length]) {
+                handler.handle_gossip(from, text);
+            }
         }
     }
+
+    fn gateway_at(&self, address: SocketAddr) -> Option<GatewayId> {
+        let position = self.addresses.iter().position(|known| *known == address)?;
+        GatewayId::try_from(position).ok()
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 pub mod client_connections;
 pub mod configuration;
 pub mod discovery;
-mod endpoint_pool;
+mod endpoints;
 pub mod event_loop;
 pub mod gossip_socket;
 pub mod memory_budget;
--- a/tests/gateway/gateway.rs
+++ b/tests/gateway/gateway.rs
@@ -1,10 +1,10 @@
-//! The gatekeeper between its clients and workers, where the order of events has to be forced.
+//! The event loop between clients and endpoints, where a test has to force the order of events.
 
 use crate::support::*;
 use marlshelf::EndpointState;
 use marlshelf::gateway::client_connections::ClientConnections;
 use marlshelf::gateway::discovery::{EndpointUpdate, ListedEndpoint};
-use marlshelf::gateway::event_loop::{Gateway, GatewayHandle};
+use marlshelf::gateway::event_loop::{Connector, Gateway, GatewayHandle};
 use marlshelf::gateway::resp;
 use socket2::SockRef;
 use std::net::{Shutdown, SocketAddr};
@@ -13,12 +13,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 
-fn worker(at: SocketAddr) -> ListedEndpoint {
+/// The size of a socket buffer that takes only the beginning of a long command.
+const SMALL_SOCKET_BUFFER: usize = 4096;
+
+fn ready_endpoint(name: &str, address: SocketAddr) -> ListedEndpoint {
     ListedEndpoint {
-        uid: "s-1".into(),
-        endpoint: at,
+        uid: name.into(),
+        endpoint: address,
         zone: String::new(),
         model: String::new(),
         cell: 0,
@@ -28,300 +32,315 @@
     }
 }
 
-/// A gateway that knows one worker, with a connection to it that takes little at once, and the worker's end.
-async fn narrow(listener: &TcpListener) -> (GatewayHandle, TcpStream) {
-    SockRef::from(listener)
-        .set_recv_buffer_size(4096)
-        .expect("a socket");
-    let at = listener.local_addr().expect("bound");
-    let gateway = Gateway::new(config(at), None, 8).expect("sound settings");
+fn in_state(endpoint: &ListedEndpoint, health: EndpointState) -> ListedEndpoint {
+    ListedEndpoint {
+        health,
+        ..endpoint.clone()
+    }
+}
+
+fn list_snapshot(gateway: &GatewayHandle, endpoints: Vec<ListedEndpoint>) {
     gateway.borrow_mut().endpoints_changed(EndpointUpdate {
         revision: 1,
         snapshot: true,
-        endpoints: vec![worker(at)],
+        endpoints,
     });
-    let stream = TcpStream::connect(at).await.expect("connected");
+}
+
+fn list_change(gateway: &GatewayHandle, revision: u64, endpoint: ListedEndpoint) {
+    gateway.borrow_mut().endpoints_changed(EndpointUpdate {
+        revision,
+        snapshot: false,
+        endpoints: vec![endpoint],
+    });
+}
+
+async fn bind_any() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind(ANY_PORT).await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
+}
+
+/// A gateway that knows one endpoint, with an idle connection to it that takes little at once, and the endpoint's
+/// side of that connection.
+async fn gateway_with_slow_connection(listener: &TcpListener) -> (GatewayHandle, TcpStream) {
+    SockRef::from(listener)
+        .set_recv_buffer_size(SMALL_SOCKET_BUFFER)
+        .expect("a socket");
+    let address = listener.local_addr().expect("bound");
+    let gateway = Gateway::new(test_configuration(address), None, 8).expect("valid settings");
+    list_snapshot(&gateway, vec![ready_endpoint("s-1", address)]);
+    let stream = TcpStream::connect(address).await.expect("connected");
     SockRef::from(&stream)
-        .set_send_buffer_size(4096)
+        .set_send_buffer_size(SMALL_SOCKET_BUFFER)
         .expect("a socket");
-    let (far, _) = listener.accept().await.expect("connected");
+    let (endpoint_side, _) = listener.accept().await.expect("connected");
     gateway.borrow_mut().adopt_connection("s-1", stream);
-    (gateway, far)
+    (gateway, endpoint_side)
 }
 
-/// A client that has sent a request of this class, with so long a body.
-async fn asked(
+/// A client that has sent a request of this class with a body of this length, and the table of clients it is in.
+async fn client_with_request(
     gateway: &GatewayHandle,
     class: &str,
-    body: usize,
+    body_length: usize,
 ) -> (Rc<ClientConnections>, TcpStream) {
-    let door = TcpListener::bind(ANY).await.expect("a port");
-    let at = door.local_addr().expect("bound");
+    let (listener, address) = bind_any().await;
     let clients = ClientConnections::new(8, 1 << 20);
-    let (accepting, gateway) = (clients.clone(), gateway.clone());
-    tokio::task::spawn_local(async move { accepting.accept(&door, gateway).await });
-    let mut client = TcpStream::connect(at).await.expect("connected");
+    let accepting_clients = clients.clone();
+    let accepting_gateway = gateway.clone();
+    tokio::task::spawn_local(async move {
+        accepting_clients.accept(&listener, accepting_gateway).await;
+    });
+    let mut client = TcpStream::connect(address).await.expect("connected");
     client
-        .write_all(&command(class, "9b1f03aa5c7e2d41", body))
+        .write_all(&command(class, "9b1f03aa5c7e2d41", body_length))
         .await
         .expect("written");
     (clients, client)
 }
 
-fn command(class: &str, id: &str, body: usize) -> Vec<u8> {
+fn command(class: &str, id: &str, body_length: usize) -> Vec<u8> {
     let fields = format!("c={class},t=p,d=8000,k=1,units=1,spread=1,first=0");
     let mut command = b"*5\r\n".to_vec();
     for part in ["Q.DO", "00000000b4d65521", id, &fields] {
         resp::put_bulk(&mut command, part.as_bytes());
     }
-    resp::put_bulk(&mut command, &vec![b'x'; body]);
+    resp::put_bulk(&mut command, &vec![b'x'; body_length]);
     command
 }
 
-/// Has a client end its sending without a turn for the runtime, and waits until the socket knows.
-fn ends_unseen(client: &TcpStream, clients: &ClientConnections) {
+/// Waits until a connection has bytes to read, without reading them.
+async fn wait_for_bytes(stream: &TcpStream, what: &str) {
+    timeout(TEST_TIMEOUT, stream.peek(&mut [0]))
+        .await
+        .expect(what)
+        .expect(what);
+}
+
+/// Accepts a connection that the gateway opens.
+async fn accept(listener: &TcpListener, what: &str) -> TcpStream {
+    let (stream, _) = timeout(TEST_TIMEOUT, listener.accept())
+        .await
+        .expect(what)
+        .expect("connected");
+    stream
+}
+
+/// Reads until a command is complete.
+async fn read_command(stream: &mut TcpStream) -> Vec<u8> {
+    let mut received = Vec::new();
+    while resp::command(&received).expect("well-formed").is_none() {
+        timeout(TEST_TIMEOUT, stream.read_buf(&mut received))
+            .await
+            .expect("a command in time")
+            .expect("open");
+    }
+    received
+}
+
+async fn wait_for_client_closed(clients: &ClientConnections) {
+    timeout(TEST_TIMEOUT, clients.connection_closed())
+        .await
+        .expect("the gateway notices the disconnect");
+}
+
+/// Ends a client's sending without a turn for the runtime, and waits until the socket itself knows.
+fn disconnect_unseen_by_runtime(client: &TcpStream, clients: &ClientConnections) {
     SockRef::from(client)
         .shutdown(Shutdown::Write)
         .expect("open");
-    let begun = Instant::now();
+    let started = Instant::now();
     while clients.disconnected_count() == 0 {
-        assert!(begun.elapsed() < LONG, "only the runtime would see it");
+        assert!(
+            started.elapsed() < TEST_TIMEOUT,
+            "only the runtime would see the disconnect"
+        );
     }
 }
 
+/// Connects when the gate opens. With `only` set, connections to other addresses do not wait for it. Each connect
+/// is announced when it begins.
+fn gated_connector(
+    gate: &watch::Receiver<bool>,
+    only: Option<SocketAddr>,
+) -> (Connector, mpsc::UnboundedReceiver<SocketAddr>) {
+    let (announce, announced) = mpsc::unbounded_channel();
+    let gate = gate.clone();
+    let connector: Connector = Rc::new(move |address| {
+        let announce = announce.clone();
+        let mut gate = gate.clone();
+        Box::pin(async move {
+            let _ = announce.send(address);
+            if only.is_none_or(|gated| gated == address) {
+                let _ = gate.wait_for(|is_open| *is_open).await;
+            }
+            TcpStream::connect(address).await
+        })
+    });
+    (connector, announced)
+}
+
 #[test]
-fn the_rest_of_a_command_is_not_written_once_its_client_has_left() {
-    play(async {
-        let workers = TcpListener::bind(ANY).await.expect("a port");
-        let (gateway, mut far) = narrow(&workers).await;
-        let (clients, client) = asked(&gateway, "pay", 60_000).await;
-        far.peek(&mut [0]).await.expect("the command has begun");
+fn a_client_disconnect_stops_a_partly_written_command() {
+    run_local(async {
+        let (endpoint, _) = bind_any().await;
+        let (gateway, mut endpoint_side) = gateway_with_slow_connection(&endpoint).await;
+        let (clients, client) = client_with_request(&gateway, "pay", 60_000).await;
+        wait_for_bytes(&endpoint_side, "the beginning of the command").await;
         drop(client);
-        timeout(LONG, clients.connection_closed())
-            .await
-            .expect("its end is seen");
-        let mut came = Vec::new();
-        let ended = timeout(LONG, far.read_to_end(&mut came)).await;
+        wait_for_client_closed(&clients).await;
+        let mut received = Vec::new();
+        let ended = timeout(TEST_TIMEOUT, endpoint_side.read_to_end(&mut received)).await;
         assert!(
             ended.is_ok(),
-            "the connection stays open, {} bytes came",
-            came.len()
+            "the connection stays open after {} bytes",
+            received.len()
         );
         assert!(
-            resp::command(&came).is_ok_and(|whole| whole.is_none()),
-            "it came whole"
+            resp::command(&received).is_ok_and(|command| command.is_none()),
+            "the command was written completely"
         );
     });
 }
 
-/// Whether a further attempt is written on a connection that comes up so long after the first one began.
-async fn repeated_after(class: &str, ms: u64) -> bool {
-    let workers = TcpListener::bind(ANY).await.expect("a port");
-    let (gateway, first) = narrow(&workers).await;
-    let (asks, mut asked_for) = mpsc::unbounded_channel();
-    let (up, goes_up) = watch::channel(false);
-    gateway.borrow_mut().set_connector(Rc::new(move |at| {
-        let (asks, mut goes_up) = (asks.clone(), goes_up.clone());
-        Box::pin(async move {
-            let _ = asks.send(());
-            let _ = goes_up.wait_for(|up| *up).await;
-            TcpStream::connect(at).await
-        })
-    }));
-    let (_clients, _client) = asked(&gateway, class, 4).await;
-    first.peek(&mut [0]).await.expect("the first attempt");
-    let begun = Instant::now();
-    // It may have run: a further attempt goes to the other worker of its cell, as soon as there is a connection.
-    let other = ListedEndpoint {
-        uid: "s-2".into(),
-        ..worker(workers.local_addr().expect("bound"))
-    };
-    gateway.borrow_mut().endpoints_changed(EndpointUpdate {
-        revision: 2,
-        snapshot: false,
-        endpoints: vec![other],
-    });
-    drop(first);
-    timeout(LONG, asked_for.recv())
+/// Whether a retry is written on a connection that opens this long after the first attempt began.
+async fn is_retried_when_connected_after(class: &str, delay: Duration) -> bool {
+    let (endpoint, address) = bind_any().await;
+    let (gateway, first_connection) = gateway_with_slow_connection(&endpoint).await;
+    let (open_gate, gate) = watch::channel(false);
+    let (connector, mut connects) = gated_connector(&gate, None);
+    gateway.borrow_mut().set_connector(connector);
+    let (_clients, _client) = client_with_request(&gateway, class, 4).await;
+    wait_for_bytes(&first_connection, "the first attempt").await;
+    let first_attempt = Instant::now();
+    // The first attempt may have been executed. Its retry goes to the other endpoint of the cell.
+    list_change(&gateway, 2, ready_endpoint("s-2", address));
+    drop(first_connection);
+    timeout(TEST_TIMEOUT, connects.recv())
         .await
-        .expect("a further attempt")
+        .expect("a retry")
         .expect("open");
-    sleep_until(begun + Duration::from_millis(ms)).await;
-    up.send_replace(true);
-    let (mut end, _) = workers.accept().await.expect("connected");
-    let mut byte = [0];
-    timeout(LONG, end.read(&mut byte))
+    sleep_until(first_attempt + delay).await;
+    open_gate.send_replace(true);
+    let mut second_connection = accept(&endpoint, "the connection for the retry").await;
+    timeout(TEST_TIMEOUT, second_connection.read(&mut [0]))
         .await
-        .expect("it is closed or used")
-        .is_ok_and(|n| n > 0)
+        .expect("the connection is used or closed")
+        .is_ok_and(|count| count > 0)
 }
 
 #[test]
-fn a_keyed_request_is_not_repeated_once_its_window_passed_as_a_connection_came_up() {
-    play(async {
-        assert!(repeated_after("order", 100).await);
-        assert!(!repeated_after("brief", 1000).await);
+fn a_keyed_request_is_not_retried_if_its_deduplication_window_passes_during_the_connect() {
+    run_local(async {
+        assert!(is_retried_when_connected_after("order", Duration::from_millis(100)).await);
+        assert!(!is_retried_when_connected_after("brief", Duration::from_secs(1)).await);
     });
 }
 
 #[test]
-fn a_connection_that_comes_up_too_late_costs_its_attempt_only() {
-    play(async {
-        let (slow, quick) = (
-            TcpListener::bind(ANY).await.expect("a port"),
-            TcpListener::bind(ANY).await.expect("a port"),
-        );
-        let (late, other) = (
-            slow.local_addr().expect("bound"),
-            quick.local_addr().expect("bound"),
-        );
-        let gateway = Gateway::new(config(late), None, 8).expect("sound settings");
-        let (up, goes_up) = watch::channel(false);
-        gateway.borrow_mut().set_connector(Rc::new(move |at| {
-            let mut goes_up = goes_up.clone();
-            Box::pin(async move {
-                if at == late {
-                    let _ = goes_up.wait_for(|up| *up).await;
-                }
-                TcpStream::connect(at).await
-            })
-        }));
-        let both = [
-            worker(late),
-            ListedEndpoint {
-                uid: "s-2".into(),
-                ..worker(other)
-            },
-        ];
-        gateway.borrow_mut().endpoints_changed(EndpointUpdate {
-            revision: 1,
-            snapshot: true,
-            endpoints: both.to_vec(),
-        });
-        let drains = ListedEndpoint {
-            health: EndpointState::Draining,
-            ..both[1].clone()
-        };
-        gateway.borrow_mut().endpoints_changed(EndpointUpdate {
-            revision: 2,
-            snapshot: false,
-            endpoints: vec![drains],
-        });
+fn a_connect_that_ends_after_its_attempt_carries_only_a_later_request() {
+    run_local(async {
+        let (slow, slow_address) = bind_any().await;
+        let (quick, quick_address) = bind_any().await;
+        let gateway =
+            Gateway::new(test_configuration(slow_address), None, 8).expect("valid settings");
+        let (open_gate, gate) = watch::channel(false);
+        let (connector, _connects) = gated_connector(&gate, Some(slow_address));
+        gateway.borrow_mut().set_connector(connector);
+        let slow_endpoint = ready_endpoint("s-1", slow_address);
+        let quick_endpoint = ready_endpoint("s-2", quick_address);
+        list_snapshot(&gateway, vec![slow_endpoint, quick_endpoint.clone()]);
+        let draining = in_state(&quick_endpoint, EndpointState::Draining);
+        list_change(&gateway, 2, draining);
         tokio::task::spawn_local(Gateway::run_timers(gateway.clone()));
-        let (_clients, mut client) = asked(&gateway, "pay", 4).await;
+        let (_clients, mut client) = client_with_request(&gateway, "pay", 4).await;
         while gateway.borrow().active_requests() == 0 {
-            tokio::task::yield_now().await;
+            yield_now().await;
         }
-        // Now there is another one, which is tried once the first has not come up in time.
-        gateway.borrow_mut().endpoints_changed(EndpointUpdate {
-            revision: 3,
-            snapshot: false,
-            endpoints: vec![both[1].clone()],
-        });
-        let (mut line, _) = timeout(LONG, quick.accept())
-            .await
-            .expect("a further attempt")
-            .expect("connected");
-        line.peek(&mut [0]).await.expect("the command");
-        line.write_all(b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n")
+
+        // The quick endpoint is tried once the connect to the slow one has taken too long.
+        list_change(&gateway, 3, quick_endpoint.clone());
+        let mut connection = accept(&quick, "a retry").await;
+        wait_for_bytes(&connection, "the command").await;
+        connection
+            .write_all(b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n")
             .await
             .expect("written");
         let mut answer = [0; 8];
         client.read_exact(&mut answer).await.expect("answered");
         assert_eq!(&answer, b"$2\r\nhi\r\n");
-        // By the next one it would come up at once: that is sent on it, and nothing else.
-        up.send_replace(true);
-        let gone = ListedEndpoint {
-            health: EndpointState::Removed,
-            ..both[1].clone()
-        };
-        gateway.borrow_mut().endpoints_changed(EndpointUpdate {
-            revision: 4,
-            snapshot: false,
-            endpoints: vec![gone],
-        });
-        let (_more, _next) = asked(&gateway, "pay", 5).await;
-        let (mut line, _) = timeout(LONG, slow.accept())
-            .await
-            .expect("it is tried again")
-            .expect("connected");
-        let mut came = Vec::new();
-        while resp::command(&came).expect("sound").is_none() {
-            timeout(LONG, line.read_buf(&mut came))
-                .await
-                .expect("the next request")
-                .expect("open");
-        }
+
+        // By the next request the slow endpoint accepts at once. It gets that request and nothing else.
+        open_gate.send_replace(true);
+        let removed = in_state(&quick_endpoint, EndpointState::Removed);
+        list_change(&gateway, 4, removed);
+        let (_more_clients, _next_client) = client_with_request(&gateway, "pay", 5).await;
+        let mut connection = accept(&slow, "the next request tries the slow endpoint").await;
+        let received = read_command(&mut connection).await;
         assert!(
-            came.ends_with(b"$5\r\nxxxxx\r\n"),
+            received.ends_with(b"$5\r\nxxxxx\r\n"),
             "{}",
-            String::from_utf8_lossy(&came)
+            String::from_utf8_lossy(&received)
         );
     });
 }
 
 #[test]
-fn what_waits_behind_a_full_pipeline_is_not_begun_once_its_client_has_left_unseen() {
-    play(async {
-        let workers = TcpListener::bind(ANY).await.expect("a port");
-        let (gateway, far) = narrow(&workers).await;
-        let (clients, mut client) = asked(&gateway, "pay", 4).await;
-        far.peek(&mut [0]).await.expect("the first one");
+fn a_command_behind_a_full_pipeline_is_not_started_after_an_unseen_disconnect() {
+    run_local(async {
+        let (endpoint, address) = bind_any().await;
+        let (gateway, endpoint_side) = gateway_with_slow_connection(&endpoint).await;
+        let (clients, mut client) = client_with_request(&gateway, "pay", 4).await;
+        wait_for_bytes(&endpoint_side, "the first request").await;
+        let last_command = command("pay", "00000000000000ff", 4);
         client
-            .write_all(&[PING.repeat(127), command("pay", "00000000000000ff", 4)].concat())
+            .write_all(&[PING.repeat(127), last_command].concat())
             .await
             .expect("written");
-        // As many turns as they need to fill the line, with no room for the one behind, and more.
+        // More turns than the commands need to fill the pipeline, which leaves no space for the last one.
         for _ in 0..1000 {
-            tokio::task::yield_now().await;
+            yield_now().await;
         }
         assert_eq!(gateway.borrow().requests_received(), 1);
-        ends_unseen(&client, &clients);
-        // A new life of its worker fails the first one, which makes room.
+        disconnect_unseen_by_runtime(&client, &clients);
+        // A restart of the endpoint fails the first request, which makes space in the pipeline.
         let restarted = ListedEndpoint {
             boot_ms: 1.0,
-            ..worker(workers.local_addr().expect("bound"))
+            ..ready_endpoint("s-1", address)
         };
-        gateway.borrow_mut().endpoints_changed(EndpointUpdate {
-            revision: 2,
-            snapshot: false,
-            endpoints: vec![restarted],
-        });
-        timeout(LONG, clients.connection_closed())
-            .await
-            .expect("its end is seen");
+        list_change(&gateway, 2, restarted);
+        wait_for_client_closed(&clients).await;
         assert_eq!(
             gateway.borrow().requests_received(),
             1,
-            "one more has begun"
+            "the last command was started"
         );
     });
 }
 
 #[test]
-fn of_many_commands_the_rest_is_not_begun_once_the_client_has_left_unseen() {
-    play(async {
-        let workers = TcpListener::bind(ANY).await.expect("a port");
-        let (gateway, far) = narrow(&workers).await;
-        let (clients, mut client) = asked(&gateway, "pay", 4).await;
-        far.peek(&mut [0]).await.expect("the first one");
-        let many: Vec<u8> = (0..100)
+fn the_rest_of_a_batch_of_commands_is_not_started_after_an_unseen_disconnect() {
+    run_local(async {
+        let (endpoint, _) = bind_any().await;
+        let (gateway, endpoint_side) = gateway_with_slow_connection(&endpoint).await;
+        let (clients, mut client) = client_with_request(&gateway, "pay", 4).await;
+        wait_for_bytes(&endpoint_side, "the first request").await;
+        let batch: Vec<u8> = (0..100)
             .flat_map(|k| command("pay", &format!("{k:016x}"), 4))
             .collect();
-        client.write_all(&many).await.expect("written");
+        client.write_all(&batch).await.expect("written");
         while gateway.borrow().requests_received() == 1 {
-            tokio::task::yield_now().await;
+            yield_now().await;
         }
-        let taken = gateway.borrow().requests_received();
-        ends_unseen(&client, &clients);
-        timeout(LONG, clients.connection_closed())
-            .await
-            .expect("its end is seen");
-        assert!(taken < 100, "all begun in one go");
+        let received = gateway.borrow().requests_received();
+        disconnect_unseen_by_runtime(&client, &clients);
+        wait_for_client_closed(&clients).await;
+        assert!(received < 100, "the whole batch was started in one turn");
         assert_eq!(
             gateway.borrow().requests_received(),
-            taken,
-            "more have begun"
+            received,
+            "further commands were started"
         );
     });
 }
--- /dev/null
+++ b/tests/gateway/gossip_socket.rs
@@ -0,0 +1,78 @@
+//! Which datagrams the gossip socket passes on.
+
+use crate::support::*;
+use marlshelf::gateway::gossip_socket::{GossipHandler, GossipSocket, MAX_DATAGRAM_BYTES};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Records what is received.
+struct Recorder(mpsc::UnboundedSender<(u32, String)>);
+
+impl GossipHandler for Recorder {
+    fn handle_gossip(&self, from: u32, text: &str) {
+        let _ = self.0.send((from, text.to_owned()));
+    }
+}
+
+/// A socket that takes datagrams at once: `GossipSocket::send` drops them while the runtime does not know that.
+async fn bind_any() -> (UdpSocket, SocketAddr) {
+    let socket = UdpSocket::bind(ANY_PORT).await.expect("a port");
+    socket.writable().await.expect("writable");
+    let address = socket.local_addr().expect("bound");
+    (socket, address)
+}
+
+#[test]
+fn only_text_of_allowed_length_from_another_gateway_is_received() {
+    run_local(async {
+        let (own, own_address) = bind_any().await;
+        let (peer, peer_address) = bind_any().await;
+        let (stranger, _) = bind_any().await;
+        let gossip = GossipSocket::new(own, vec![own_address, peer_address]);
+        let (sender, mut received) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(gossip.clone().listen(Rc::new(Recorder(sender)), 0));
+
+        let longest = "x".repeat(MAX_DATAGRAM_BYTES);
+        let too_long = "x".repeat(MAX_DATAGRAM_BYTES + 1);
+        gossip.send(0, "from the gateway itself");
+        for (socket, datagram) in [
+            (&stranger, b"from an unknown address".as_slice()),
+            (&peer, too_long.as_bytes()),
+            (&peer, b"\xff\xfe"),
+            (&peer, longest.as_bytes()),
+            (&peer, b"last"),
+        ] {
+            socket
+                .send_to(datagram, own_address)
+                .await
+                .expect("sent over loopback");
+        }
+
+        for expected in [longest.as_str(), "last"] {
+            let gossip = timeout(TEST_TIMEOUT, received.recv()).await;
+            assert_eq!(gossip.expect("in time"), Some((1, expected.to_owned())));
+        }
+    });
+}
+
+#[test]
+fn a_datagram_over_the_limit_or_to_an_unknown_gateway_is_not_sent() {
+    run_local(async {
+        let (own, own_address) = bind_any().await;
+        let (peer, peer_address) = bind_any().await;
+        let gossip = GossipSocket::new(own, vec![own_address, peer_address]);
+        gossip.send(1, &"x".repeat(MAX_DATAGRAM_BYTES + 1));
+        gossip.send(2, "to nobody");
+        gossip.send(1, "first that is sent");
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        let (length, from) = timeout(TEST_TIMEOUT, peer.recv_from(&mut buffer))
+            .await
+            .expect("in time")
+            .expect("received");
+        assert_eq!(&buffer[..length], b"first that is sent");
+        assert_eq!(from, own_address);
+    });
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod discovery;
 mod gateway;
+mod gossip_socket;
 mod resp;
 mod starts;
 mod support;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -1,4 +1,4 @@
-//! What the tests of the host share.
+//! Helpers that the tests of the gateway's parts share.
 
 use marlshelf::SettingsDocument;
 use marlshelf::gateway::configuration::Configuration;
@@ -10,14 +10,20 @@
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 
-/// Nothing here waits this long unless it has failed.
-pub const LONG: Duration = Duration::from_secs(20);
-pub const ANY: &str = "127.0.0.1:0";
+/// Nothing in these tests waits this long unless it has failed.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+pub const ANY_PORT: &str = "127.0.0.1:0";
 pub const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
 
-/// What a gatekeeper that is alone is told.
-pub fn config(here: SocketAddr) -> Configuration {
-    let conf: SettingsDocument = serde_json::from_value(serde_json::json!({
+// Interim: the former names, for the test files that still use them.
+pub use self::{
+    ANY_PORT as ANY, TEST_TIMEOUT as LONG, read_to_end as rest, run_local as play,
+    test_configuration as config, write_unseen_by_runtime as unseen,
+};
+
+/// The configuration of a gateway that is alone in its fleet.
+pub fn test_configuration(address: SocketAddr) -> Configuration {
+    let document: SettingsDocument = serde_json::from_value(serde_json::json!({
         "Balancers": 1,
         "Bounds": {"ConnectTimeout": 5000.0},
         "Classes": [
@@ -27,23 +33,24 @@
         ],
         "Plans": [{"Name": "p", "UnitsPerS": 10.0, "PeakUnits": 10.0, "ValueFactor": 1.0}],
     }))
-    .expect("sound settings");
+    .expect("valid settings");
     Configuration {
         name: String::new(),
-        listen: here,
-        discovery: here,
+        listen: address,
+        discovery: address,
         seed: 1,
         sockets: 64,
         memory: 32 << 20,
         peer_listen: None,
         peers: Vec::new(),
         known_endpoints: None,
-        settings: conf.settings(),
-        document: conf,
+        settings: document.settings(),
+        document,
     }
 }
 
-pub fn play(test: impl Future<Output = ()>) {
+/// Runs a test on one thread, in a task set that allows `spawn_local`.
+pub fn run_local(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -51,18 +58,19 @@
     LocalSet::new().block_on(&runtime, test);
 }
 
-/// Writes at once, so that the runtime has seen nothing of it.
-pub fn unseen(client: TcpStream, bytes: &[u8]) -> TcpStream {
+/// Writes without a turn for the runtime, which so has seen nothing of it when this returns.
+pub fn write_unseen_by_runtime(client: TcpStream, bytes: &[u8]) -> TcpStream {
     let mut client = client.into_std().expect("a socket");
     client.write_all(bytes).expect("written");
     TcpStream::from_std(client).expect("a socket")
 }
 
-pub async fn rest(client: &mut TcpStream) -> String {
-    let mut rest = String::new();
-    timeout(LONG, client.read_to_string(&mut rest))
+/// Reads until the other side closes the connection. A reset fails the test.
+pub async fn read_to_end(client: &mut TcpStream) -> String {
+    let mut text = String::new();
+    timeout(TEST_TIMEOUT, client.read_to_string(&mut text))
         .await
-        .expect("it is closed")
-        .expect("and not reset");
-    rest
+        .expect("closed in time")
+        .expect("closed without a reset");
+    text
 }
