--- a/src/gateway/event_loop/actions.rs
+++ b/src/gateway/event_loop/actions.rs
@@ -3,7 +3,7 @@
 use crate::gateway::event_loop::Gateway;
 use crate::gateway::event_loop::timers::Timer;
 use crate::gateway::resp;
-use crate::{Action, AttemptResult, RequestId};
+use crate::{Action, RequestId};
 
 /// The final answer to a request that failed. It does not say whether the request was executed.
 pub(super) const FAILED_ANSWER: &[u8] = b"-ERR failed\r\n";
@@ -22,11 +22,6 @@
                 retry_after_ms,
             } => self.answer(request, &rejection(retry_after_ms)),
             Action::Fail { request } => self.answer(request, FAILED_ANSWER),
-            Action::CancelAttempt { id, attempt } => {
-                if self.requests.has_attempt(id, attempt) {
-                    self.abort_attempt(id, AttemptResult::Cancelled);
-                }
-            }
             Action::SendGossip { to, text } => {
                 if let Some(gossip) = &self.gossip {
                     gossip.send(to, &text);
@@ -35,9 +30,6 @@
             Action::SetTimer { token, delay_ms } => {
                 self.schedule(now_ms + delay_ms, Timer::Engine { token });
             }
-            Action::Log { text } => eprintln!("marlshelf-gateway: {text}"),
-            // The endpoints of this deployment offer no health check.
-            Action::CheckHealth { .. } => {}
         }
     }
 
