Merge the client side and let the event loop implement its trait

The event loop implements the trait of the client connections itself, so the interim file between the two and the interim names in the protocol module are gone.

--- a/src/gateway/endpoints/connection.rs
+++ b/src/gateway/endpoints/connection.rs
@@ -4,7 +4,7 @@
 use crate::gateway::endpoints::response::EndpointResponse;
 use crate::gateway::endpoints::{EndpointEvent, EndpointEventHandler};
 use crate::gateway::memory_budget::MemoryReservation;
-use crate::gateway::resp::{self, ProtocolError, VALUE_MOST};
+use crate::gateway::resp::{MAX_VALUE_LEN, ProtocolError, parse_reply};
 use crate::{EndpointName, RequestId};
 use socket2::SockRef;
 use std::cell::{Cell, OnceCell};
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 
 /// The longest whole response: a value, and a little for the load report and the actual cost.
-const MAX_RESPONSE_BYTES: usize = VALUE_MOST + 4096;
+const MAX_RESPONSE_BYTES: usize = MAX_VALUE_LEN + 4096;
 /// Buffer capacity that a connection keeps between responses, and may have however full the memory budget is.
 const RETAINED_BUFFER_BYTES: usize = 8 * 1024;
 /// Free space in the buffer before each read.
@@ -33,8 +33,8 @@
     #[error("the response is too long")]
     ResponseTooLong,
     /// The bytes are not a response in the protocol.
-    #[error("{}", .0.0)]
-    Malformed(ProtocolError),
+    #[error(transparent)]
+    Malformed(#[from] ProtocolError),
 }
 
 /// What a connection is used for.
@@ -232,9 +232,7 @@
             {
                 return Err(EndpointProtocolError::OutOfMemory);
             }
-            let Some((reply, length)) =
-                resp::reply(&buffer).map_err(EndpointProtocolError::Malformed)?
-            else {
+            let Some((reply, length)) = parse_reply(&buffer)? else {
                 if buffer.len() > MAX_RESPONSE_BYTES {
                     return Err(EndpointProtocolError::ResponseTooLong);
                 }
--- a/src/gateway/event_loop/active_request.rs
+++ b/src/gateway/event_loop/active_request.rs
@@ -1,6 +1,6 @@
 //! A request in flight and its current attempt.
 
-use crate::gateway::client_connections::{ClientConnection, ClientRequest};
+use crate::gateway::clients::{ClientConnection, ClientRequest};
 use crate::gateway::endpoints::{ConnectionState, EndpointConnection};
 use crate::{EndpointName, Idempotency, Request, RequestClass, RequestId};
 use std::rc::Rc;
@@ -11,7 +11,7 @@
     /// The client that waits for the answer. `None` once it has been answered or has disconnected.
     client: Option<Rc<ClientConnection>>,
     /// Whether the request has outlasted the call in which it came in. Until then its client was seen just now.
-    pub has_waited: bool,
+    has_waited: bool,
     attempts_started: u32,
     attempt: Option<Attempt>,
     /// When the first attempt that may have been executed was started.
@@ -64,25 +64,30 @@
         let client_request = &self.client_request;
         Request {
             id,
-            tenant: client_request.customer.clone(),
+            tenant: client_request.tenant.clone(),
             class: client_request.class,
             plan: client_request.plan,
-            cost: client_request.units,
-            shard_start: client_request.first,
-            shard_size: client_request.spread,
+            cost: client_request.cost,
+            shard_start: client_request.shard_start,
+            shard_size: client_request.shard_size,
             client_deadline_ms,
-            is_retry: client_request.repeat,
+            is_retry: client_request.is_retry,
         }
     }
 
-    /// The id that the client gave the request.
-    pub fn client_id(&self) -> u64 {
-        self.client_request.wire
+    /// Notes that the call in which the request came in has ended.
+    pub fn mark_waited(&mut self) {
+        self.has_waited = true;
+    }
+
+    /// The id that the client chose for the request.
+    pub fn client_request_id(&self) -> u64 {
+        self.client_request.client_request_id
     }
 
     /// The memory that the command takes.
     pub fn memory_bytes(&self) -> usize {
-        self.client_request.command.len()
+        self.client_request.command_len()
     }
 
     /// The index of the request's class in the settings.
@@ -92,7 +97,7 @@
 
     /// Appends the command as an endpoint gets it, with the time that it has left for an answer.
     pub fn write_command(&self, remaining_ms: u64, out: &mut Vec<u8>) {
-        self.client_request.write(remaining_ms, out);
+        self.client_request.encode_for_endpoint(remaining_ms, out);
     }
 
     pub fn client(&self) -> Option<&Rc<ClientConnection>> {
--- a/src/gateway/event_loop/attempts.rs
+++ b/src/gateway/event_loop/attempts.rs
@@ -56,7 +56,7 @@
             return self.finish_attempt(id, AttemptResult::NeverSent);
         }
         if request.is_abandoned() {
-            return self.left(id);
+            return self.client_disconnected(id);
         }
         let timer = Timer::AttemptDeadline {
             request: id,
@@ -133,7 +133,7 @@
             .get(id)
             .is_some_and(ActiveRequest::is_abandoned)
         {
-            self.left(id);
+            self.client_disconnected(id);
         }
         let is_awaited = self
             .requests
--- a/src/gateway/event_loop/client_requests.rs
+++ b/src/gateway/event_loop/client_requests.rs
@@ -1,10 +1,11 @@
-//! What the client connections ask of the event loop.
+//! What the event loop does with the requests that client connections report.
 
-use crate::gateway::client_connections::{ClientConnection, ClientRequest};
+use crate::gateway::clients::{ClientConnection, ClientEvent, ClientEventHandler, ClientRequest};
 use crate::gateway::event_loop::Gateway;
 use crate::gateway::event_loop::active_request::ActiveRequest;
 use crate::gateway::event_loop::timers::Timer;
 use crate::{Event, RequestId};
+use std::cell::RefCell;
 use std::rc::Rc;
 
 /// The engine's deadline lies this long before the client's: the client's time runs from when it sent the request,
@@ -13,33 +14,45 @@
 /// A request without a final answer this long after the engine's deadline fails, so that every client gets one.
 const ANSWER_GRACE_MS: f64 = 3.0;
 
-impl Gateway {
-    /// An id that was never used before, for a request or a client connection. The ids on the wire are the
-    /// clients' own, and may repeat.
-    pub(crate) fn next_id(&mut self) -> RequestId {
-        self.requests.next_id()
+impl ClientEventHandler for RefCell<Gateway> {
+    fn next_id(&self) -> RequestId {
+        self.borrow_mut().requests.next_id()
+    }
+
+    fn is_active(&self, client_request_id: u64) -> bool {
+        self.borrow()
+            .requests
+            .is_client_request_id_in_use(client_request_id)
     }
 
-    /// Whether a request with this id of the client's is in flight, or an attempt of it still runs: a second one
-    /// would reach an endpoint as a duplicate of the first.
-    pub(crate) fn is_open(&self, client_id: u64) -> bool {
-        self.requests.is_client_id_in_use(client_id)
+    /// Has no capacity at the limit on active requests in the settings, at that of the memory budget, and at the
+    /// end of a shutdown.
+    fn has_capacity_for(&self, bytes: usize) -> bool {
+        let gateway = self.borrow();
+        gateway.now() < gateway.shutdown_deadline_ms && gateway.requests.has_capacity_for(bytes)
     }
 
-    /// Whether one more request of this size can be taken. If not, it is rejected unseen, as the limit on active
-    /// requests in the settings, the memory budget, or the end of a shutdown demands.
-    pub(crate) fn has_room(&self, bytes: usize) -> bool {
-        self.now() < self.shutdown_deadline_ms && self.requests.has_capacity(bytes)
+    fn handle_client_event(&self, event: ClientEvent) {
+        let mut gateway = self.borrow_mut();
+        match event {
+            ClientEvent::RequestReceived {
+                request,
+                command,
+                connection,
+            } => gateway.request_received(request, command, connection),
+            ClientEvent::Disconnected { request } => gateway.client_disconnected(request),
+        }
     }
+}
 
-    /// A complete request was received from a client.
-    pub(crate) fn request(
+impl Gateway {
+    fn request_received(
         &mut self,
         id: RequestId,
         client_request: ClientRequest,
         client: Rc<ClientConnection>,
     ) {
-        let client_deadline_ms = self.now() + client_request.wait - CLIENT_DEADLINE_MARGIN_MS;
+        let client_deadline_ms = self.now() + client_request.wait_ms - CLIENT_DEADLINE_MARGIN_MS;
         let deadline_ms = client_deadline_ms.min(self.shutdown_deadline_ms);
         let active_request = ActiveRequest::new(client_request, client);
         let engine_request = active_request.to_engine_request(id, deadline_ms);
@@ -48,12 +61,13 @@
         self.schedule(deadline_ms + ANSWER_GRACE_MS, timer);
         self.handle_event(Event::RequestReceived(engine_request));
         if let Some(active_request) = self.requests.get_mut(id) {
-            active_request.has_waited = true;
+            active_request.mark_waited();
         }
     }
 
-    /// A client disconnected while this request was in flight. Nothing more is sent for the request.
-    pub(crate) fn left(&mut self, id: RequestId) {
+    /// The client of a request in flight has disconnected, or counts as disconnected. Nothing more is sent for the
+    /// request.
+    pub(super) fn client_disconnected(&mut self, id: RequestId) {
         if self.requests.take_client(id).is_none() {
             return;
         }
--- a/src/gateway/event_loop/mod.rs
+++ b/src/gateway/event_loop/mod.rs
@@ -249,7 +249,7 @@
             .requests
             .get(id)
             .and_then(|request| request.client().cloned());
-        self.left(id);
+        self.client_disconnected(id);
         if let Some(client) = client {
             client.answer(id, actions::FAILED_ANSWER);
         }
--- a/src/gateway/event_loop/request_table.rs
+++ b/src/gateway/event_loop/request_table.rs
@@ -1,7 +1,7 @@
 //! The requests in flight, and what they occupy: memory, and the ids that their clients gave them.
 
 use crate::RequestId;
-use crate::gateway::client_connections::ClientConnection;
+use crate::gateway::clients::ClientConnection;
 use crate::gateway::event_loop::active_request::{ActiveRequest, Attempt};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -9,8 +9,8 @@
 /// All requests in flight.
 pub(super) struct RequestTable {
     requests: HashMap<RequestId, ActiveRequest>,
-    /// The clients' ids of the requests in flight.
-    client_ids_in_use: HashSet<u64>,
+    /// The ids that the clients chose for the requests in flight.
+    client_request_ids: HashSet<u64>,
     memory_in_use: usize,
     max_requests: usize,
     max_memory_bytes: usize,
@@ -22,7 +22,7 @@
     pub fn new(max_requests: usize, max_memory_bytes: usize) -> RequestTable {
         RequestTable {
             requests: HashMap::new(),
-            client_ids_in_use: HashSet::new(),
+            client_request_ids: HashSet::new(),
             memory_in_use: 0,
             max_requests,
             max_memory_bytes,
@@ -54,12 +54,13 @@
             .all(|request| !request.awaits_answer())
     }
 
-    pub fn is_client_id_in_use(&self, client_id: u64) -> bool {
-        self.client_ids_in_use.contains(&client_id)
+    /// Whether a request with this client-chosen id is in flight.
+    pub fn is_client_request_id_in_use(&self, client_request_id: u64) -> bool {
+        self.client_request_ids.contains(&client_request_id)
     }
 
     /// Whether one more request of this size fits.
-    pub fn has_capacity(&self, bytes: usize) -> bool {
+    pub fn has_capacity_for(&self, bytes: usize) -> bool {
         self.requests.len() < self.max_requests
             && self.memory_in_use + bytes <= self.max_memory_bytes
     }
@@ -67,7 +68,7 @@
     pub fn insert(&mut self, id: RequestId, request: ActiveRequest) {
         self.received += 1;
         self.memory_in_use += request.memory_bytes();
-        self.client_ids_in_use.insert(request.client_id());
+        self.client_request_ids.insert(request.client_request_id());
         self.requests.insert(id, request);
     }
 
@@ -124,7 +125,7 @@
             .is_some_and(|request| !request.awaits_answer() && request.attempt().is_none());
         if finished && let Some(request) = self.requests.remove(&id) {
             self.memory_in_use -= request.memory_bytes();
-            self.client_ids_in_use.remove(&request.client_id());
+            self.client_request_ids.remove(&request.client_request_id());
         }
     }
 }
--- a/tests/gateway/gateway.rs
+++ b/tests/gateway/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::support::*;
 use marlshelf::EndpointState;
-use marlshelf::gateway::client_connections::ClientConnections;
+use marlshelf::gateway::clients::{ClientConnections, ClientListener, RequestSchema};
 use marlshelf::gateway::discovery::{EndpointUpdate, ListedEndpoint};
 use marlshelf::gateway::event_loop::{Connector, Gateway, GatewayHandle};
 use marlshelf::gateway::resp;
@@ -85,13 +85,11 @@
     class: &str,
     body_length: usize,
 ) -> (Rc<ClientConnections>, TcpStream) {
-    let (listener, address) = bind_any().await;
+    let (socket, address) = bind_any().await;
     let clients = ClientConnections::new(8, 1 << 20);
-    let accepting_clients = clients.clone();
-    let accepting_gateway = gateway.clone();
-    tokio::task::spawn_local(async move {
-        accepting_clients.accept(&listener, accepting_gateway).await;
-    });
+    let schema = RequestSchema::new(&gateway.borrow().document);
+    let listener = ClientListener::new(clients.clone(), gateway.clone(), schema);
+    tokio::task::spawn_local(async move { listener.accept(&socket).await });
     let mut client = TcpStream::connect(address).await.expect("connected");
     client
         .write_all(&command(class, "9b1f03aa5c7e2d41", body_length))
@@ -130,7 +128,10 @@
 /// Reads until a command is complete.
 async fn read_command(stream: &mut TcpStream) -> Vec<u8> {
     let mut received = Vec::new();
-    while resp::command(&received).expect("well-formed").is_none() {
+    while resp::parse_command(&received)
+        .expect("well-formed")
+        .is_none()
+    {
         timeout(TEST_TIMEOUT, stream.read_buf(&mut received))
             .await
             .expect("a command in time")
@@ -198,7 +199,7 @@
             received.len()
         );
         assert!(
-            resp::command(&received).is_ok_and(|command| command.is_none()),
+            resp::parse_command(&received).is_ok_and(|command| command.is_none()),
             "the command was written completely"
         );
     });
