--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,11 +3,10 @@
 
 pub mod backoff;
 pub mod bind;
-mod client_events;
 pub mod clients;
 pub mod configuration;
 pub mod discovery;
-mod endpoint_pool;
+mod endpoints;
 pub mod event_loop;
 pub mod gossip_socket;
 pub mod memory_budget;
--- a/src/gateway/resp/mod.rs
+++ b/src/gateway/resp/mod.rs
@@ -15,8 +15,3 @@
 pub use error::ProtocolError;
 pub use primitives::MAX_VALUE_LEN;
 pub use reply::{Reply, parse_reply};
-
-// Interim names for call sites in modules that are being rewritten at the same time.
-pub use command::parse_command as command;
-pub use primitives::MAX_VALUE_LEN as VALUE_MOST;
-pub use reply::parse_reply as reply;
