--- a/src/gateway/clients/connection.rs
+++ b/src/gateway/clients/connection.rs
@@ -263,7 +263,7 @@
         }
     }
 
-    /// Whether the client has disconnected, as far as is known now. See [`ClientSocket::is_disconnected`].
+    /// Whether the client has disconnected, as far as is known now, also when the runtime has not seen it yet.
     #[must_use]
     pub fn is_disconnected(&self) -> bool {
         self.socket.is_disconnected()
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -321,6 +321,21 @@
     });
 }
 
+#[test]
+fn connection_with_too_many_undelivered_response_bytes_is_closed() {
+    play(async {
+        let server = Server::start().await;
+        let mut client = server.connect().await;
+        send(&mut client, &[request(1), request(2)].concat()).await;
+        server.handler.wait_for_requests(2).await;
+        // It cannot be written before the first one is answered.
+        server.handler.answer(1, &"x".repeat((1 << 20) + 1));
+        wait_until(|| server.connections.is_empty()).await;
+        let first = server.handler.received.borrow()[0].id;
+        assert_eq!(*server.handler.disconnected.borrow(), [first]);
+    });
+}
+
 #[test]
 fn only_unanswered_requests_of_a_closed_connection_are_reported() {
     play(async {
