Split startup, shutdown, discovery and log of the gateway into modules of one job

Cause: `run` was one function of 118 lines, discovery one file for types, JSON, frames, HTTP and the retry loop, errors were strings, and log lines were written in several places in wording of their own.

Change: `process` (run), `startup`, `signals`, `shutdown` (a phase each, with its reason), `background_tasks`; `discovery/` with document, frames, transport, watcher, schedule and error; ConfigurationError, BindError, StartupError, DiscoveryError, FrameError and DocumentError with thiserror; every log line of these files through `log`, with a constant event name and fields in front of the sentence. Messages about addresses now name the file or the variable. Delays, random streams, deadlines and the order of steps are as before, apart from the end of the process, where the background tasks are now stopped one by one instead of being dropped with the runtime.

Tests: files named by subject, the stand-in discovery in a file of its own, all 31 cases kept and 7 added (bind errors that are not retried, bound on a frame, malformed entries, log lines).

--- a/src/bin/marlshelf-gateway/main.rs
+++ b/src/bin/marlshelf-gateway/main.rs
@@ -1,19 +1,26 @@
-//! The gatekeeper as a process: a runtime around [`marlshelf::gateway`].
+//! The gateway as a process: a single-threaded runtime around [`marlshelf::gateway::run`].
+//!
+//! The exit code is 0 after a graceful shutdown, and 1 if the gateway could not start.
 
+use marlshelf::gateway::StartupError;
+use marlshelf::gateway::log::{self, Event};
 use std::process::ExitCode;
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"));
-    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, marlshelf::gateway::run()))
-    {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
-            eprintln!("marlshelf-gateway: {what}");
+        Err(error) => {
+            log::event(&Event::StartupFailed { error: &error });
             ExitCode::FAILURE
         }
     }
 }
+
+fn run() -> Result<(), StartupError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(StartupError::Runtime)?;
+    LocalSet::new().block_on(&runtime, marlshelf::gateway::run())
+}
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -1,13 +1,144 @@
-//! What the gatekeeper is told: GW_CONFIG and the variables that stand beside it.
+//! The configuration of one gateway: the file that `GW_CONFIG` names, and the variables that override it.
 
 use crate::gateway::discovery::EndpointUpdate;
-use crate::{Settings, SettingsDocument};
+use crate::{Settings, SettingsDocument, SettingsError};
 use serde::Deserialize;
 use std::env;
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
+use std::num::ParseIntError;
+use thiserror::Error;
 
+/// Names the configuration file.
+pub const CONFIG_FILE_VARIABLE: &str = "GW_CONFIG";
+/// Overrides the name of the gateway.
+pub const NAME_VARIABLE: &str = "GW_NAME";
+/// Overrides the address at which clients connect.
+pub const LISTEN_VARIABLE: &str = "GW_LISTEN";
+/// Overrides the address of discovery, at the start of the process only.
+pub const DISCOVERY_VARIABLE: &str = "GW_DISCOVERY";
+
+/// Traffic fills the memory with four kinds of data: incomplete commands, commands in flight, incomplete responses,
+/// and responses that clients do not read. Each may take one part in so many; the rest is for everything else.
+const MEMORY_PURPOSE_DIVISOR: usize = 8;
+/// The fewest and the most descriptors that the configuration may set.
+const MIN_DESCRIPTORS: usize = 64;
+const MAX_DESCRIPTORS: usize = 1 << 20;
+/// The least and the most memory that the configuration may set, in MiB.
+const MIN_MEMORY_MIB: usize = 32;
+const MAX_MEMORY_MIB: usize = 1 << 20;
+const BYTES_PER_MIB: usize = 1 << 20;
+
+/// The configuration of one gateway.
+pub struct Configuration {
+    /// The name of the gateway, the same after a restart.
+    pub name: String,
+    /// The address at which clients connect.
+    pub listen_address: SocketAddr,
+    /// The address of discovery.
+    pub discovery_address: SocketAddr,
+    /// The seed of random numbers, new with each start.
+    pub seed: u64,
+    /// The most file descriptors that the process may hold.
+    pub max_descriptors: usize,
+    /// The most memory that the process may use, in bytes.
+    pub max_memory_bytes: usize,
+    /// The address at which gossip arrives, if gossip is enabled.
+    pub gossip_address: Option<SocketAddr>,
+    /// The gossip addresses of all gateways of the tier, by their numbers.
+    pub peer_addresses: Vec<SocketAddr>,
+    /// The endpoint list as it was last cached.
+    pub known_endpoints: Option<EndpointUpdate>,
+    /// The settings as they are serialized.
+    pub document: SettingsDocument,
+    /// The settings that the decision engine needs.
+    pub settings: Settings,
+}
+
+/// Why the configuration cannot be used. Each message is one line.
+#[derive(Debug, Error)]
+pub enum ConfigurationError {
+    /// The variable that names the file is absent or not Unicode.
+    #[error("{CONFIG_FILE_VARIABLE} names no configuration file")]
+    NoFileNamed,
+    /// The file cannot be read.
+    #[error("cannot read {path}: {source}")]
+    Unreadable {
+        /// The path of the file.
+        path: String,
+        /// The error of the operating system.
+        source: io::Error,
+    },
+    /// The file is not JSON, or a key in it is missing or has the wrong type.
+    #[error("{path}: {source}")]
+    Malformed {
+        /// The path of the file.
+        path: String,
+        /// The error with the key and the position in the file.
+        source: serde_json::Error,
+    },
+    /// The settings hold a value that the decision engine cannot use.
+    #[error("{path}: {source}")]
+    Settings {
+        /// The path of the file.
+        path: String,
+        /// What is wrong with the settings.
+        source: SettingsError,
+    },
+    /// The number of this gateway is not below the number of gateways.
+    #[error("{path}: settings: Me is {gateway} of {gateway_count} gateways")]
+    GatewayNumber {
+        /// The path of the file.
+        path: String,
+        /// The number of this gateway.
+        gateway: u32,
+        /// The number of gateways of the tier.
+        gateway_count: u32,
+    },
+    /// The seed is not a hexadecimal number of 64 bits.
+    #[error("{path}: seed: {text:?} is not a hexadecimal number: {source}")]
+    Seed {
+        /// The path of the file.
+        path: String,
+        /// The text in its place.
+        text: String,
+        /// What is wrong with the text.
+        source: ParseIntError,
+    },
+    /// A value is not an address with a port.
+    #[error("{origin}: {key}: {text:?} is not an address and port")]
+    Address {
+        /// Where the value was found.
+        origin: ValueOrigin,
+        /// The key of the configuration that the value is for.
+        key: &'static str,
+        /// The value.
+        text: String,
+    },
+}
+
+/// Where a value of the configuration was found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ValueOrigin {
+    /// In the file at this path.
+    File(String),
+    /// In the environment variable of this name.
+    Variable(&'static str),
+}
+
+impl fmt::Display for ValueOrigin {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ValueOrigin::File(path) => formatter.write_str(path),
+            ValueOrigin::Variable(name) => formatter.write_str(name),
+        }
+    }
+}
+
+/// The file as it is serialized.
 #[derive(Deserialize)]
-struct File {
+struct ConfigurationFile {
     #[serde(default)]
     name: String,
     #[serde(default)]
@@ -17,7 +148,7 @@
     #[serde(default)]
     seed: String,
     #[serde(default)]
-    limits: Limits,
+    limits: ProcessLimits,
     #[serde(default)]
     peer_listen: String,
     #[serde(default)]
@@ -29,126 +160,173 @@
 
 #[derive(Deserialize)]
 #[serde(default)]
-struct Limits {
+struct ProcessLimits {
     sockets: usize,
     memory_mb: usize,
 }
 
-impl Default for Limits {
+impl Default for ProcessLimits {
     fn default() -> Self {
-        Limits {
+        ProcessLimits {
             sockets: 1024,
             memory_mb: 192,
         }
     }
 }
 
-/// All that one gatekeeper is told.
-pub struct Configuration {
-    /// Its name, the same after a restart.
-    pub name: String,
-    /// Where clients connect.
-    pub listen: SocketAddr,
-    /// Where the list of workers is had.
-    pub discovery: SocketAddr,
-    /// For random numbers; new with each start.
-    pub seed: u64,
-    /// The most descriptors that the process may hold.
-    pub sockets: usize,
-    /// The most memory that it may hold, in bytes.
-    pub memory: usize,
-    /// Where notes arrive, if notes are allowed.
-    pub peer_listen: Option<SocketAddr>,
-    /// Where each gatekeeper of the tier takes notes, by number.
-    pub peers: Vec<SocketAddr>,
-    /// The list of workers as it was last had.
-    pub known_endpoints: Option<EndpointUpdate>,
-    /// The settings as they are written.
-    pub document: SettingsDocument,
-    /// What the module needs of them.
-    pub settings: Settings,
+/// When the configuration is read. It decides whether the environment overrides the address of discovery.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ReadAt {
+    Startup,
+    /// The file may have been changed since the start; the environment cannot have been.
+    Reload,
 }
 
-/// Each of the four kinds of thing that traffic fills the memory with, commands half here, commands in hand,
-/// answers half here and answers not taken, may have this part of it; what is left is for all else.
-const MEMORY_PART: usize = 8;
-
 impl Configuration {
-    /// What one kind of thing may take of the memory.
-    pub fn memory_per_purpose(&self) -> usize {
-        self.memory / MEMORY_PART
-    }
-
-    /// Reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY stand over it.
+    /// Reads the file that `GW_CONFIG` names. `GW_NAME`, `GW_LISTEN` and `GW_DISCOVERY` override it.
     ///
     /// # Errors
-    /// When it can't be used: one line that names the file and what is wrong.
-    pub fn read() -> Result<Configuration, String> {
-        Self::load(true)
+    /// When the configuration cannot be used: see [`ConfigurationError`].
+    pub fn read() -> Result<Configuration, ConfigurationError> {
+        Self::load(ReadAt::Startup)
     }
 
-    /// Reads it once more. By now the file knows better than the environment of the start where discovery is.
+    /// Reads the file again. The address of discovery now comes from the file, which may have been changed since
+    /// the environment of the process was set.
     ///
     /// # Errors
-    /// As at the start.
-    pub fn reload() -> Result<Configuration, String> {
-        Self::load(false)
+    /// When the configuration cannot be used: see [`ConfigurationError`].
+    pub fn reload() -> Result<Configuration, ConfigurationError> {
+        Self::load(ReadAt::Reload)
     }
 
-    fn load(start: bool) -> Result<Configuration, String> {
-        let path = env::var("GW_CONFIG")
-            .map_err(|_| "GW_CONFIG names no configuration file".to_string())?;
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        let file: File = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
-        let told = |name: &str, other: String| {
-            env::var(name)
-                .ok()
-                .filter(|v| !v.is_empty())
-                .unwrap_or(other)
-        };
-        let settings = file.settings.settings();
-        settings.validate().map_err(|e| format!("{path}: {e}"))?;
-        if settings.gateway >= settings.gateway_count {
-            return Err(format!(
-                "{path}: settings: Me is {} of {} gatekeepers",
-                settings.gateway, settings.gateway_count
-            ));
-        }
-        // A new start must not draw the lots of the last one, nor those of its peers.
-        let seed =
-            u64::from_str_radix(file.seed.trim(), 16).map_err(|e| format!("{path}: seed: {e}"))?;
-        let peers = file
+    /// How many bytes of memory each of the kinds of data may take that traffic fills it with.
+    #[must_use]
+    pub fn memory_per_purpose(&self) -> usize {
+        self.max_memory_bytes / MEMORY_PURPOSE_DIVISOR
+    }
+
+    fn load(read_at: ReadAt) -> Result<Configuration, ConfigurationError> {
+        let path = env::var(CONFIG_FILE_VARIABLE).map_err(|_| ConfigurationError::NoFileNamed)?;
+        let file = read_file(&path)?;
+        let settings = checked_settings(&path, &file.settings)?;
+        let seed = parse_seed(&path, &file.seed)?;
+        let peer_addresses = file
             .peers
             .iter()
-            .map(|p| address("peers", p))
+            .map(|peer| in_file(&path, "peers", peer).parse())
             .collect::<Result<Vec<_>, _>>()?;
-        let peer_listen = (settings.gossip_enabled && !file.peer_listen.is_empty())
-            .then(|| address("peer_listen", &file.peer_listen))
+        let gossip_configured = settings.gossip_enabled && !file.peer_listen.is_empty();
+        let gossip_address = gossip_configured
+            .then(|| in_file(&path, "peer_listen", &file.peer_listen).parse())
             .transpose()?;
+        let listen = in_file(&path, "listen", &file.listen).overridden_by(LISTEN_VARIABLE);
+        let listen_address = listen.parse()?;
+        let discovery = in_file(&path, "discovery", &file.discovery);
+        let discovery_address = match read_at {
+            ReadAt::Startup => discovery.overridden_by(DISCOVERY_VARIABLE).parse()?,
+            ReadAt::Reload => discovery.parse()?,
+        };
         Ok(Configuration {
-            name: told("GW_NAME", file.name),
-            listen: address("listen", &told("GW_LISTEN", file.listen))?,
-            discovery: address(
-                "discovery",
-                &if start {
-                    told("GW_DISCOVERY", file.discovery)
-                } else {
-                    file.discovery
-                },
-            )?,
+            name: override_from(NAME_VARIABLE).unwrap_or(file.name),
+            listen_address,
+            discovery_address,
             seed,
-            sockets: file.limits.sockets.clamp(64, 1 << 20),
-            memory: file.limits.memory_mb.clamp(32, 1 << 20) << 20,
-            peer_listen,
-            peers,
-            known_endpoints: EndpointUpdate::read(&file.known),
+            max_descriptors: file.limits.sockets.clamp(MIN_DESCRIPTORS, MAX_DESCRIPTORS),
+            max_memory_bytes: file.limits.memory_mb.clamp(MIN_MEMORY_MIB, MAX_MEMORY_MIB)
+                * BYTES_PER_MIB,
+            gossip_address,
+            peer_addresses,
+            // A cached list that cannot be read is as good as none.
+            known_endpoints: EndpointUpdate::from_json(&file.known).ok(),
             document: file.settings,
             settings,
         })
     }
 }
 
-fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
-    text.parse()
-        .map_err(|_| format!("{what}: {text:?} is not an address and port"))
+fn read_file(path: &str) -> Result<ConfigurationFile, ConfigurationError> {
+    let text = std::fs::read(path).map_err(|source| ConfigurationError::Unreadable {
+        path: path.to_string(),
+        source,
+    })?;
+    serde_json::from_slice(&text).map_err(|source| ConfigurationError::Malformed {
+        path: path.to_string(),
+        source,
+    })
+}
+
+fn checked_settings(
+    path: &str,
+    document: &SettingsDocument,
+) -> Result<Settings, ConfigurationError> {
+    let settings = document.settings();
+    settings
+        .validate()
+        .map_err(|source| ConfigurationError::Settings {
+            path: path.to_string(),
+            source,
+        })?;
+    if settings.gateway >= settings.gateway_count {
+        return Err(ConfigurationError::GatewayNumber {
+            path: path.to_string(),
+            gateway: settings.gateway,
+            gateway_count: settings.gateway_count,
+        });
+    }
+    Ok(settings)
+}
+
+/// The seed must be there: a process must not repeat the random numbers of its previous incarnation, nor those of
+/// its peers.
+fn parse_seed(path: &str, text: &str) -> Result<u64, ConfigurationError> {
+    u64::from_str_radix(text.trim(), 16).map_err(|source| ConfigurationError::Seed {
+        path: path.to_string(),
+        text: text.to_string(),
+        source,
+    })
+}
+
+/// The value of a variable that is set and not empty.
+fn override_from(variable: &str) -> Option<String> {
+    env::var(variable).ok().filter(|value| !value.is_empty())
+}
+
+/// The text of an address, with what an error message says about it.
+struct AddressValue {
+    origin: ValueOrigin,
+    key: &'static str,
+    text: String,
+}
+
+fn in_file(path: &str, key: &'static str, text: &str) -> AddressValue {
+    AddressValue {
+        origin: ValueOrigin::File(path.to_string()),
+        key,
+        text: text.to_string(),
+    }
+}
+
+impl AddressValue {
+    fn overridden_by(self, variable: &'static str) -> AddressValue {
+        match override_from(variable) {
+            None => self,
+            Some(text) => AddressValue {
+                origin: ValueOrigin::Variable(variable),
+                key: self.key,
+                text,
+            },
+        }
+    }
+
+    fn parse(self) -> Result<SocketAddr, ConfigurationError> {
+        match self.text.parse() {
+            Ok(address) => Ok(address),
+            Err(_) => Err(ConfigurationError::Address {
+                origin: self.origin,
+                key: self.key,
+                text: self.text,
+            }),
+        }
+    }
 }
--- /dev/null
+++ b/src/gateway/discovery/document.rs
@@ -0,0 +1,98 @@
+//! The JSON form of an endpoint list, as discovery sends it and the configuration file caches it.
+
+use super::{EndpointUpdate, ListedEndpoint};
+use crate::EndpointState;
+use serde_json::Value;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use thiserror::Error;
+
+/// The longest document that is read: a document without an end must not fill the memory.
+pub(super) const MAX_DOCUMENT_BYTES: usize = 4 << 20;
+
+/// The weight of an endpoint for which discovery gives none.
+const DEFAULT_WEIGHT: f64 = 1.0;
+
+/// Stands for the address of a removed endpoint, which may be listed without one.
+const UNKNOWN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// Why bytes could not be read as an endpoint list.
+#[derive(Debug, Error)]
+pub enum DocumentError {
+    /// The bytes are not JSON.
+    #[error("not JSON: {0}")]
+    NotJson(#[from] serde_json::Error),
+    /// The bytes are JSON without the keys that an endpoint list must have.
+    #[error("no endpoint list: `rev` or `targets` is missing or has the wrong type")]
+    NotAnEndpointList,
+}
+
+impl EndpointUpdate {
+    /// Reads the JSON form of an endpoint list. An entry that cannot be read is left out, and the others count.
+    ///
+    /// # Errors
+    /// [`DocumentError::NotAnEndpointList`] if the revision or the array of entries is missing.
+    pub fn from_json(document: &Value) -> Result<EndpointUpdate, DocumentError> {
+        let revision = document.get("rev").and_then(Value::as_u64);
+        let entries = document.get("targets").and_then(Value::as_array);
+        let (Some(revision), Some(entries)) = (revision, entries) else {
+            return Err(DocumentError::NotAnEndpointList);
+        };
+        Ok(EndpointUpdate {
+            revision,
+            snapshot: document
+                .get("all")
+                .and_then(Value::as_bool)
+                .unwrap_or(false),
+            endpoints: entries.iter().filter_map(read_entry).collect(),
+        })
+    }
+
+    /// Parses the bytes of a whole document.
+    pub(super) fn from_json_bytes(bytes: &[u8]) -> Result<EndpointUpdate, DocumentError> {
+        let document: Value = serde_json::from_slice(bytes)?;
+        EndpointUpdate::from_json(&document)
+    }
+}
+
+fn read_entry(entry: &Value) -> Option<ListedEndpoint> {
+    let state = read_state(text(entry, "state")?)?;
+    let uid = text(entry, "uid").filter(|uid| !uid.is_empty())?;
+    // Nothing else about a removed endpoint matters, and its removal must not be missed: defaults stand in for
+    // what is absent or malformed.
+    let removed = state == EndpointState::Removed;
+    let address = text(entry, "endpoint").and_then(|address| address.parse().ok());
+    let cell = entry
+        .get("pod_group")
+        .and_then(Value::as_u64)
+        .and_then(|cell| u32::try_from(cell).ok());
+    Some(ListedEndpoint {
+        uid: uid.to_string(),
+        endpoint: address.or(removed.then_some(UNKNOWN_ADDRESS))?,
+        zone: text(entry, "az").unwrap_or_default().to_string(),
+        model: text(entry, "model").unwrap_or_default().to_string(),
+        cell: cell.or(removed.then_some(0))?,
+        health: state,
+        size: non_negative(entry, "capacity_hint").unwrap_or(DEFAULT_WEIGHT),
+        boot_ms: non_negative(entry, "boot_ms").unwrap_or(0.0),
+    })
+}
+
+fn read_state(text: &str) -> Option<EndpointState> {
+    match text {
+        "ready" => Some(EndpointState::Ready),
+        "draining" => Some(EndpointState::Draining),
+        "gone" => Some(EndpointState::Removed),
+        _ => None,
+    }
+}
+
+fn text<'a>(entry: &'a Value, key: &str) -> Option<&'a str> {
+    entry.get(key).and_then(Value::as_str)
+}
+
+fn non_negative(entry: &Value, key: &str) -> Option<f64> {
+    entry
+        .get(key)
+        .and_then(Value::as_f64)
+        .filter(|number| number.is_finite() && *number >= 0.0)
+}
--- /dev/null
+++ b/tests/gateway/bind.rs
@@ -0,0 +1,63 @@
+//! Binding an address that is in use, in virtual time.
+
+use crate::support::ANY;
+use marlshelf::gateway::bind::{BIND_TIMEOUT, SocketPurpose, bind_with_retry};
+use std::cell::Cell;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+/// Runs a test in virtual time, which moves on at once when every task waits.
+fn run_in_virtual_time(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("a runtime")
+        .block_on(test);
+}
+
+#[test]
+fn an_address_that_stays_in_use_fails_after_the_timeout_with_a_message_that_names_it() {
+    run_in_virtual_time(async {
+        let occupant = std::net::TcpListener::bind(ANY).expect("a port");
+        let address = occupant.local_addr().expect("bound");
+        let (started_at, attempts) = (Instant::now(), Cell::new(0));
+        let bind = async |address: SocketAddr| {
+            attempts.set(attempts.get() + 1);
+            TcpListener::bind(address).await
+        };
+        let error = bind_with_retry(SocketPurpose::Clients, address, bind)
+            .await
+            .map(|_| ())
+            .expect_err("the address is in use all the time");
+        let message = error.to_string();
+        assert!(
+            message.starts_with(&format!("cannot listen at {address}: ")),
+            "{message}"
+        );
+        assert_eq!(error.source.kind(), ErrorKind::AddrInUse);
+        let elapsed = started_at.elapsed();
+        assert!(
+            elapsed >= BIND_TIMEOUT && elapsed < BIND_TIMEOUT + Duration::from_secs(1),
+            "{elapsed:?} of virtual time"
+        );
+        assert!(attempts.get() > 100, "{} attempts", attempts.get());
+    });
+}
+
+#[test]
+fn an_error_other_than_an_address_in_use_is_not_retried() {
+    run_in_virtual_time(async {
+        let started_at = Instant::now();
+        let bind = async |_: SocketAddr| Err::<(), _>(ErrorKind::AddrNotAvailable.into());
+        let address = "192.0.2.1:6379".parse().expect("an address");
+        let error = bind_with_retry(SocketPurpose::Gossip, address, bind)
+            .await
+            .expect_err("the address does not exist");
+        assert_eq!(error.source.kind(), ErrorKind::AddrNotAvailable);
+        assert_eq!(started_at.elapsed(), Duration::ZERO);
+    });
+}
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -1,9 +1,12 @@
-//! Discovery: frames of a watch, and calls that fail.
+//! The discovery client: endpoint lists, frames of a watch, and calls that fail.
 
 use crate::support::*;
-use marlshelf::gateway::backoff::Backoff;
-use marlshelf::gateway::discovery::{self, Connect, Frame, FrameDecoder, Tcp};
+use marlshelf::EndpointState;
+use marlshelf::gateway::discovery::{
+    self, Connect, EndpointUpdate, Frame, FrameDecoder, FrameError, PollSchedule, Tcp,
+};
 use marlshelf::gateway::event_loop::Gateway;
+use serde_json::json;
 use std::cell::RefCell;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -19,23 +22,39 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
-/// What the pieces make whole: how many workers are listed, and how many empty lines there are.
-fn read(pieces: &[&str]) -> Result<(usize, usize), String> {
-    let (mut frames, mut workers, mut empty) = (FrameDecoder::default(), 0, 0);
-    for piece in pieces
-        .iter()
-        .flat_map(|p| p.as_bytes().split_inclusive(|b| *b == b'\n'))
-    {
-        match frames.decode(piece)? {
-            Some(Frame::Update(update)) => workers += update.endpoints.len(),
-            Some(Frame::KeepAlive) => empty += 1,
-            None => {}
+const EMPTY_LIST: &str = r#"{"rev":1,"all":true,"targets":[]}"#;
+
+/// What a watch has brought.
+#[derive(Debug, Default, PartialEq)]
+struct Received {
+    endpoints: usize,
+    keep_alives: usize,
+}
+
+fn received(endpoints: usize, keep_alives: usize) -> Received {
+    Received {
+        endpoints,
+        keep_alives,
+    }
+}
+
+/// Decodes the pieces, each split at line ends as the client splits them.
+fn decode(pieces: &[&str]) -> Result<Received, FrameError> {
+    let mut decoder = FrameDecoder::default();
+    let mut received = Received::default();
+    for piece in pieces {
+        for line_piece in piece.as_bytes().split_inclusive(|byte| *byte == b'\n') {
+            match decoder.decode(line_piece)? {
+                Some(Frame::Update(update)) => received.endpoints += update.endpoints.len(),
+                Some(Frame::KeepAlive) => received.keep_alives += 1,
+                None => {}
+            }
         }
     }
-    Ok((workers, empty))
+    Ok(received)
 }
 
-const INDENTED: &str = r#"{
+const INDENTED_LIST: &str = r#"{
   "rev": 43,
   "targets": [
 {
@@ -46,102 +65,176 @@
 "#;
 
 #[test]
-fn a_watch_may_be_indented_and_come_in_any_pieces() {
-    let flat = INDENTED.replace(['\n', ' '], "") + "\n";
-    assert_eq!(read(&[&flat, "\n", &flat]), Ok((2, 1)));
-    assert_eq!(read(&["\n", INDENTED, "\r\n", INDENTED, "\n"]), Ok((2, 3)));
-    for cut in 1..INDENTED.len() {
-        let (head, tail) = INDENTED.split_at(cut);
-        assert_eq!(read(&[head, tail, &flat, "\n"]), Ok((2, 1)), "cut at {cut}");
+fn frames_may_be_indented_and_cut_at_any_place() {
+    let on_one_line = INDENTED_LIST.replace(['\n', ' '], "") + "\n";
+    let decoded = decode(&[&on_one_line, "\n", &on_one_line]).expect("frames");
+    assert_eq!(decoded, received(2, 1));
+    let decoded = decode(&["\n", INDENTED_LIST, "\r\n", INDENTED_LIST, "\n"]).expect("frames");
+    assert_eq!(decoded, received(2, 3));
+    for cut in 1..INDENTED_LIST.len() {
+        let (head, tail) = INDENTED_LIST.split_at(cut);
+        let decoded = decode(&[head, tail, &on_one_line, "\n"]).expect("frames");
+        assert_eq!(decoded, received(2, 1), "cut at {cut}");
     }
 }
 
 #[test]
-fn a_list_that_breaks_off_is_no_list() {
-    for cut in 1..INDENTED.trim_end().len() {
-        let head = INDENTED.split_at(cut).0;
+fn a_list_cut_short_is_an_error() {
+    for cut in 1..INDENTED_LIST.trim_end().len() {
+        let head = INDENTED_LIST.split_at(cut).0;
         assert!(
-            read(&[head, "\n\n"]).is_err(),
-            "cut at {cut}, then a sign of life"
+            decode(&[head, "\n\n"]).is_err(),
+            "cut at {cut}, then a keep-alive"
         );
     }
-    assert!(read(&["{nonsense\n"]).is_err());
-    assert!(read(&["7\n"]).is_err());
+    assert!(matches!(
+        decode(&["{nonsense\n"]),
+        Err(FrameError::Document(discovery::DocumentError::NotJson(_)))
+    ));
+    assert!(matches!(
+        decode(&["7\n"]),
+        Err(FrameError::Document(
+            discovery::DocumentError::NotAnEndpointList
+        ))
+    ));
 }
 
-/// A gatekeeper follows this discovery, whose first watch has been given its first line.
-async fn followed() -> (TcpListener, TcpStream, watch::Sender<SocketAddr>) {
-    const LIST: &str = r#"{"rev":1,"all":true,"targets":[]}"#;
+#[test]
+fn a_frame_without_an_end_is_an_error_before_it_fills_the_memory() {
+    let mut decoder = FrameDecoder::default();
+    let piece = [b' '; 1 << 20];
+    let mut accepted = 0;
+    let error = loop {
+        match decoder.decode(&piece) {
+            Ok(frame) => assert_eq!(frame, None),
+            Err(error) => break error,
+        }
+        accepted += 1;
+        assert!(accepted < 100, "there is no bound");
+    };
+    assert!(matches!(error, FrameError::TooLong), "{error}");
+    assert_eq!(accepted, 4, "MiB are accepted");
+}
+
+#[test]
+fn a_malformed_entry_is_left_out_and_the_others_count() {
+    let document = json!({"rev": 7, "targets": [
+        {"uid": "a", "endpoint": "127.0.0.1:1", "pod_group": 2, "state": "ready", "capacity_hint": 3.0},
+        {"uid": "", "endpoint": "127.0.0.1:1", "pod_group": 0, "state": "ready"},
+        {"uid": "no-address", "endpoint": "nowhere", "pod_group": 0, "state": "ready"},
+        {"uid": "no-cell", "endpoint": "127.0.0.1:1", "state": "draining"},
+        {"uid": "no-state", "endpoint": "127.0.0.1:1", "pod_group": 0, "state": "odd"},
+        7,
+        {"uid": "b", "state": "gone"},
+    ]});
+    let update = EndpointUpdate::from_json(&document).expect("an endpoint list");
+    assert_eq!((update.revision, update.snapshot), (7, false));
+    let names: Vec<&str> = update
+        .endpoints
+        .iter()
+        .map(|listed| listed.uid.as_str())
+        .collect();
+    assert_eq!(names, ["a", "b"]);
+    assert_eq!(update.endpoints[0].cell, 2);
+    assert_eq!(update.endpoints[0].size, 3.0);
+    // A removal counts whatever else the entry lacks.
+    assert_eq!(update.endpoints[1].health, EndpointState::Removed);
+}
+
+/// A gateway that follows discovery, and has received the first line of its first watch.
+struct FollowedDiscovery {
+    listener: TcpListener,
+    watch: TcpStream,
+    /// Dropping it ends the client.
+    _address: watch::Sender<SocketAddr>,
+}
+
+async fn follow_until_first_line() -> FollowedDiscovery {
     tokio::time::pause();
     let listener = TcpListener::bind(ANY).await.expect("a port");
-    let at = listener.local_addr().expect("bound");
-    let config = config(at);
-    let backoff = Backoff::new(&config.document, 7);
-    let gateway = Gateway::new(config, None, 8).expect("sound settings");
-    let (moved, at) = watch::channel(at);
-    let take = move |update| gateway.borrow_mut().endpoints_changed(update);
-    spawn_local(discovery::follow(Tcp, take, at, None, backoff));
+    let address = listener.local_addr().expect("bound");
+    let configuration = config(address);
+    let schedule = PollSchedule::new(&configuration.document, 7);
+    let gateway = Gateway::new(configuration, None, 8).expect("valid settings");
+    let (address_sender, address) = watch::channel(address);
+    let on_update = move |update| gateway.borrow_mut().endpoints_changed(update);
+    spawn_local(discovery::follow(Tcp, on_update, address, None, schedule));
     let (mut stream, _) = listener.accept().await.expect("a call");
     stream.set_nodelay(true).expect("a socket");
-    let mut asked = [0; 1024];
-    assert!(stream.read(&mut asked).await.is_ok_and(|n| n > 0));
-    let whole = format!(
-        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{LIST}",
-        LIST.len()
+    expect_request(&mut stream).await;
+    let snapshot = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{EMPTY_LIST}",
+        EMPTY_LIST.len()
     );
-    stream.write_all(whole.as_bytes()).await.expect("written");
-    assert!(stream.read(&mut asked).await.is_ok_and(|n| n > 0));
-    let chunk = format!("{:x}\r\n{LIST}\n\r\n", LIST.len() + 1);
-    let line = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}");
-    stream.write_all(line.as_bytes()).await.expect("written");
-    (listener, stream, moved)
+    stream
+        .write_all(snapshot.as_bytes())
+        .await
+        .expect("written");
+    expect_request(&mut stream).await;
+    let chunk = format!("{:x}\r\n{EMPTY_LIST}\n\r\n", EMPTY_LIST.len() + 1);
+    let watch = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}");
+    stream.write_all(watch.as_bytes()).await.expect("written");
+    FollowedDiscovery {
+        listener,
+        watch: stream,
+        _address: address_sender,
+    }
+}
+
+async fn expect_request(stream: &mut TcpStream) {
+    let mut request = [0; 1024];
+    assert!(stream.read(&mut request).await.is_ok_and(|n| n > 0));
 }
 
 #[test]
-fn a_silent_watch_leaves_time_for_two_calls_that_hang_as_well() {
+fn a_silent_watch_leaves_time_for_two_calls_that_hang() {
     play(async {
-        let (listener, _stream, _moved) = followed().await;
-        let heard = Instant::now();
-        let mut calls = Vec::new();
+        let followed = follow_until_first_line().await;
+        let last_received_at = Instant::now();
+        let mut hanging_calls = Vec::new();
         for _ in 0..3 {
-            calls.push(listener.accept().await.expect("a call"));
+            hanging_calls.push(followed.listener.accept().await.expect("a call"));
         }
-        // What it misses counts as told after 6 s, and a drain must be kept half a second later.
-        let passed = heard.elapsed();
+        // A change that the watch misses counts as known after 6 s, and a drain must be respected 0.5 s later.
+        let elapsed = last_received_at.elapsed();
         assert!(
-            passed < Duration::from_millis(6500),
-            "{passed:?} after its last word"
+            elapsed < Duration::from_millis(6500),
+            "{elapsed:?} after the last line"
         );
     });
 }
 
 #[test]
-fn pieces_of_a_line_that_never_ends_do_not_keep_a_watch_alive() {
+fn pieces_of_a_line_without_an_end_do_not_keep_a_watch_alive() {
     play(async {
-        let (listener, mut stream, _moved) = followed().await;
-        let endless = async move {
-            while stream.write_all(b"1\r\n \r\n").await.is_ok() {
+        let FollowedDiscovery {
+            listener,
+            mut watch,
+            _address,
+        } = follow_until_first_line().await;
+        let send_pieces = async move {
+            while watch.write_all(b"1\r\n \r\n").await.is_ok() {
                 sleep(Duration::from_millis(500)).await;
             }
             std::future::pending().await
         };
-        let again = async {
+        let next_call = async {
             timeout(LONG, listener.accept())
                 .await
-                .expect("it is opened anew")
+                .expect("the watch is opened again")
                 .expect("a call");
         };
         tokio::select! {
-            () = again => {}
-            () = endless => {}
+            () = next_call => {}
+            () = send_pieces => {}
         }
     });
 }
 
-/// A connection that is reset where its other end ends it.
-struct Resets(DuplexStream);
+/// A connection that reports a reset where the other end closes it.
+struct ResetAtEnd(DuplexStream);
 
-impl AsyncRead for Resets {
+impl AsyncRead for ResetAtEnd {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
@@ -158,7 +251,7 @@
     }
 }
 
-impl AsyncWrite for Resets {
+impl AsyncWrite for ResetAtEnd {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
@@ -176,43 +269,45 @@
     }
 }
 
-/// Each call is answered with a head that tells no length and then with these bytes, and reset.
-struct Cuts(&'static str);
+/// Answers each call with a head that gives no length and with this body, and then resets the connection.
+struct ResetAfterBody(&'static str);
 
-impl Connect for Cuts {
-    type Stream = Resets;
+impl Connect for ResetAfterBody {
+    type Stream = ResetAtEnd;
 
-    async fn connect(&self, _: SocketAddr) -> io::Result<Resets> {
-        let (near, mut far) = duplex(1 << 16);
-        let body = self.0;
+    async fn connect(&self, _: SocketAddr) -> io::Result<ResetAtEnd> {
+        let (client_end, mut service_end) = duplex(1 << 16);
+        let response = format!("HTTP/1.1 200 OK\r\n\r\n{}", self.0);
         spawn_local(async move {
-            let mut asked = [0; 1024];
-            if far.read(&mut asked).await.is_ok_and(|n| n > 0) {
-                let _ = far
-                    .write_all(format!("HTTP/1.1 200 OK\r\n\r\n{body}").as_bytes())
-                    .await;
+            let mut request = [0; 1024];
+            if service_end.read(&mut request).await.is_ok_and(|n| n > 0) {
+                let _ = service_end.write_all(response.as_bytes()).await;
             }
         });
-        Ok(Resets(near))
+        Ok(ResetAtEnd(client_end))
     }
 }
 
 #[test]
-fn an_answer_that_tells_no_length_is_not_ended_by_a_reset() {
+fn a_reset_does_not_end_a_response_without_a_length() {
     play(async {
         tokio::time::pause();
-        let at = "127.0.0.1:1".parse().expect("an address");
-        let cut = |body| {
-            let (taken, (moves, address)) = (Rc::new(RefCell::new(Vec::new())), watch::channel(at));
-            let kept = taken.clone();
-            let take = move |update| kept.borrow_mut().push(update);
-            let backoff = Backoff::new(&config(at).document, 7);
-            spawn_local(discovery::follow(Cuts(body), take, address, None, backoff));
-            (taken, moves)
-        };
-        // For all that has come it could be whole; what more there was is lost.
-        let (list, _moves) = cut(r#"{"rev":1,"all":true,"targets":[]}"#);
+        let address: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+        let updates = Rc::new(RefCell::new(Vec::new()));
+        let sink = updates.clone();
+        let on_update = move |update| sink.borrow_mut().push(update);
+        let (_address_sender, address_receiver) = watch::channel(address);
+        let schedule = PollSchedule::new(&config(address).document, 7);
+        // The body looks complete, but more of it may have been lost with the reset.
+        let connector = ResetAfterBody(EMPTY_LIST);
+        spawn_local(discovery::follow(
+            connector,
+            on_update,
+            address_receiver,
+            None,
+            schedule,
+        ));
         sleep(Duration::from_secs(30)).await;
-        assert!(list.borrow().is_empty(), "{:?}", list.borrow());
+        assert!(updates.borrow().is_empty(), "{:?}", updates.borrow());
     });
 }
--- /dev/null
+++ b/tests/gateway/log.rs
@@ -0,0 +1,63 @@
+//! The lines of the log.
+
+use marlshelf::gateway::bind::SocketPurpose;
+use marlshelf::gateway::discovery::DiscoveryError;
+use marlshelf::gateway::log::Event;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn address() -> SocketAddr {
+    "127.0.0.1:6379".parse().expect("an address")
+}
+
+#[test]
+fn the_serving_line_ends_with_the_address() {
+    let event = Event::Serving {
+        gateway: "gw-0",
+        address: address(),
+    };
+    assert_eq!(
+        event.to_string(),
+        "marlshelf-gateway: serving gateway=gw-0 address=127.0.0.1:6379: gw-0 serves at 127.0.0.1:6379"
+    );
+}
+
+#[test]
+fn the_shutdown_lines_have_the_texts_that_deployment_tools_look_for() {
+    let started = Event::ShutdownStarted { gateway: "gw-0" }.to_string();
+    assert_eq!(
+        started,
+        "marlshelf-gateway: shutdown_started gateway=gw-0: gw-0 stops"
+    );
+    let closing = Event::ListenerClosing { gateway: "gw-0" }.to_string();
+    assert!(closing.ends_with("gw-0 lets nobody new in"), "{closing}");
+}
+
+#[test]
+fn a_failure_names_what_was_wrong_where_and_what_happens_now() {
+    let event = Event::DiscoveryFailed {
+        address: address(),
+        error: &DiscoveryError::WatchEnded,
+    };
+    assert_eq!(
+        event.to_string(),
+        "marlshelf-gateway: discovery_failed address=127.0.0.1:6379: \
+         discovery at 127.0.0.1:6379: watch: ended by discovery; retrying"
+    );
+    let event = Event::AddressInUse {
+        purpose: SocketPurpose::Gossip,
+        address: address(),
+        timeout: Duration::from_secs(30),
+    };
+    assert_eq!(
+        event.to_string(),
+        "marlshelf-gateway: address_in_use address=127.0.0.1:6379: \
+         cannot receive gossip yet: 127.0.0.1:6379 is in use; retrying for up to 30 s"
+    );
+}
+
+#[test]
+fn an_event_without_fields_has_its_sentence_right_after_its_name() {
+    let line = Event::Engine { text: "report" }.to_string();
+    assert_eq!(line, "marlshelf-gateway: engine: report");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,11 +1,13 @@
-//! The host inside this process: its parts, and events that cross.
+//! The gateway inside the test's process: its parts, and races between events that have to be forced.
 
-mod backoff;
+mod bind;
 mod budget;
 mod clients;
 mod discovery;
+mod discovery_schedule;
 mod gateway;
+mod log;
+mod notification_deadline;
 mod resp;
-mod starts;
+mod stand_in_discovery;
 mod support;
-mod told;
--- /dev/null
+++ b/tests/gateway/notification_deadline.rs
@@ -0,0 +1,338 @@
+//! Fleets that follow one discovery service, in virtual time: whatever has failed, every gateway is notified of
+//! a change within 6 s of the time at which discovery could be reached again.
+
+use crate::stand_in_discovery::{FAULTS, Fault, LATE_HEAD, Network, Service};
+use crate::support::LONG;
+use marlshelf::SettingsDocument;
+use marlshelf::gateway::discovery::{self, EndpointUpdate, PollSchedule};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+/// A change counts as known this long after discovery had it and could be reached.
+const NOTIFICATION_DEADLINE: Duration = Duration::from_secs(6);
+
+const OLD_ADDRESS: &str = "127.0.0.1:1";
+const NEW_ADDRESS: &str = "127.0.0.1:2";
+
+/// The modes in which the settings can have lists delivered: by polling a shared service, or by an agent.
+const DISCOVERY_MODES: [&str; 2] = ["subscribe", "automatic"];
+
+fn address(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
+
+/// The settings of one of so many gateways with this discovery mode.
+fn settings(gateways: u32, discovery_mode: &str) -> SettingsDocument {
+    let document =
+        serde_json::json!({"Balancers": gateways, "Discovery": discovery_mode, "Classes": []});
+    serde_json::from_value(document).expect("valid settings")
+}
+
+/// The last update that a gateway received.
+#[derive(Clone, Copy)]
+struct Notification {
+    revision: u64,
+    received_at: Instant,
+}
+
+/// Gateways that follow discovery.
+struct Fleet {
+    discovery_addresses: Vec<watch::Sender<SocketAddr>>,
+    /// The last notification of each gateway.
+    notifications: Rc<RefCell<Vec<Notification>>>,
+}
+
+impl Fleet {
+    /// Starts all gateways at the same time, with a cached list of this revision or none.
+    fn start(
+        services: &[(SocketAddr, Rc<Service>)],
+        settings: &SettingsDocument,
+        seed: u64,
+        cached_revision: Option<u64>,
+    ) -> Fleet {
+        let network = Network::new(services);
+        let none_yet = Notification {
+            revision: 0,
+            received_at: Instant::now(),
+        };
+        let notifications = vec![none_yet; settings.gateway_count() as usize];
+        let notifications = Rc::new(RefCell::new(notifications));
+        let start_gateway = |gateway: u32| {
+            let (address_sender, discovery_address) = watch::channel(services[0].0);
+            let notifications = notifications.clone();
+            let on_update = move |update: EndpointUpdate| {
+                notifications.borrow_mut()[gateway as usize] = Notification {
+                    revision: update.revision,
+                    received_at: Instant::now(),
+                };
+            };
+            spawn_local(discovery::follow(
+                network.clone(),
+                on_update,
+                discovery_address,
+                cached_revision,
+                PollSchedule::new(settings, seed << 32 | u64::from(gateway)),
+            ));
+            address_sender
+        };
+        let discovery_addresses = (0..settings.gateway_count()).map(start_gateway).collect();
+        Fleet {
+            discovery_addresses,
+            notifications,
+        }
+    }
+
+    fn gateways_without(&self, revision: u64) -> usize {
+        let notifications = self.notifications.borrow();
+        notifications
+            .iter()
+            .filter(|last| last.revision < revision)
+            .count()
+    }
+
+    /// Waits until all gateways have this revision, and returns how long after `since` the last of them got it.
+    async fn time_until_all_have(&self, revision: u64, since: Instant) -> Duration {
+        let all_notified = async {
+            while self.gateways_without(revision) > 0 {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(2 * LONG, all_notified)
+            .await
+            .unwrap_or_else(|_| panic!("{} are not notified", self.gateways_without(revision)));
+        let notifications = self.notifications.borrow();
+        notifications
+            .iter()
+            .map(|last| last.received_at.saturating_duration_since(since))
+            .max()
+            .unwrap_or_default()
+    }
+
+    fn move_discovery_to(&self, address: SocketAddr) {
+        for sender in &self.discovery_addresses {
+            sender.send(address).expect("the gateway follows discovery");
+        }
+    }
+}
+
+/// What else happens while discovery cannot be reached.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Circumstance {
+    /// Discovery failed while all gateways had watches open.
+    WatchesOpen,
+    /// All gateways start, with an old list cached.
+    StartWithCachedList,
+    /// All gateways start without a list.
+    StartWithoutList,
+    /// SIGHUP moves all gateways to another discovery service, which cannot be reached either.
+    DiscoveryMoved,
+}
+
+const CIRCUMSTANCES: [Circumstance; 4] = [
+    Circumstance::WatchesOpen,
+    Circumstance::StartWithCachedList,
+    Circumstance::StartWithoutList,
+    Circumstance::DiscoveryMoved,
+];
+
+/// An outage of discovery.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    gateways: u32,
+    discovery_mode: &'static str,
+    fault: Fault,
+    circumstance: Circumstance,
+    duration: Duration,
+    seed: u64,
+}
+
+/// Discovery hangs for 12 s while 300 gateways have watches open.
+const HANGING_SERVICE: Outage = Outage {
+    gateways: 300,
+    discovery_mode: "subscribe",
+    fault: Fault::SilentAtHead,
+    circumstance: Circumstance::WatchesOpen,
+    duration: Duration::from_secs(12),
+    seed: 7,
+};
+
+impl Outage {
+    /// How long a call takes the service that all gateways share: it can answer 300 calls in 3 s, and larger
+    /// fleets in the same time. An agent has the list at hand.
+    fn cost_of_call(&self) -> Duration {
+        if self.discovery_mode == "automatic" {
+            Duration::ZERO
+        } else {
+            Duration::from_secs(3) / self.gateways.max(300)
+        }
+    }
+
+    /// Starts the fleet and makes discovery fail, in the order that the circumstance demands.
+    async fn begin(self, services: &[(SocketAddr, Rc<Service>)], failing: &Service) -> Fleet {
+        let settings = settings(self.gateways, self.discovery_mode);
+        match self.circumstance {
+            Circumstance::WatchesOpen | Circumstance::DiscoveryMoved => {
+                let fleet = Fleet::start(services, &settings, self.seed, None);
+                fleet.time_until_all_have(1, Instant::now()).await;
+                // A random time, so that the outage may begin anywhere between two keep-alives.
+                let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
+                sleep(Duration::from_millis(rng.random_range(5000..9000))).await;
+                failing.fail(self.fault);
+                fleet
+            }
+            Circumstance::StartWithCachedList => {
+                failing.fail(self.fault);
+                Fleet::start(services, &settings, self.seed, Some(1))
+            }
+            Circumstance::StartWithoutList => {
+                failing.fail(self.fault);
+                Fleet::start(services, &settings, self.seed, None)
+            }
+        }
+    }
+
+    /// Simulates the outage, and returns how long after its end the last gateway was notified of a change.
+    async fn time_until_all_are_notified(self) -> Duration {
+        let old_service = Service::new(self.seed, self.cost_of_call());
+        let new_service = Service::new(self.seed + 1, self.cost_of_call());
+        let services = [
+            (address(OLD_ADDRESS), old_service.clone()),
+            (address(NEW_ADDRESS), new_service.clone()),
+        ];
+        let discovery_moves = self.circumstance == Circumstance::DiscoveryMoved;
+        let failing = if discovery_moves {
+            new_service
+        } else {
+            old_service
+        };
+        let fleet = self.begin(&services, &failing).await;
+        if discovery_moves {
+            fleet.move_discovery_to(address(NEW_ADDRESS));
+        }
+        sleep(self.duration).await;
+        failing.recover_with_revision(2);
+        fleet.time_until_all_have(2, Instant::now()).await
+    }
+
+    /// Simulates the outage on a clock of its own, and checks that every gateway is notified in time.
+    fn assert_all_notified_in_time(self) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        let last = LocalSet::new().block_on(&runtime, self.time_until_all_are_notified());
+        // For a watch that has fallen silent the deadline counts from that time.
+        let silent_since = if self.fault == Fault::LateWatch {
+            LATE_HEAD
+        } else {
+            Duration::ZERO
+        };
+        assert!(
+            last <= silent_since + NOTIFICATION_DEADLINE,
+            "{self:?}: the last gateway is notified after {last:?}"
+        );
+    }
+}
+
+#[test]
+fn a_fleet_of_300_is_notified_in_time_after_discovery_hung_on_20_seeds_of_20() {
+    for seed in 0..20 {
+        let outage = Outage {
+            seed,
+            ..HANGING_SERVICE
+        };
+        outage.assert_all_notified_in_time();
+    }
+}
+
+#[test]
+fn every_fleet_is_notified_in_time_after_every_fault() {
+    for fault in FAULTS.into_iter().chain([Fault::Mixed]) {
+        for circumstance in CIRCUMSTANCES {
+            for discovery_mode in DISCOVERY_MODES {
+                for gateways in [1, 30, 300] {
+                    let outage = Outage {
+                        gateways,
+                        discovery_mode,
+                        fault,
+                        circumstance,
+                        ..HANGING_SERVICE
+                    };
+                    outage.assert_all_notified_in_time();
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_fleet_of_2900_is_notified_in_time() {
+    for fault in [Fault::Refused, Fault::SilentAtHead, Fault::Mixed] {
+        for circumstance in CIRCUMSTANCES {
+            let outage = Outage {
+                gateways: 2900,
+                fault,
+                circumstance,
+                ..HANGING_SERVICE
+            };
+            outage.assert_all_notified_in_time();
+        }
+    }
+}
+
+#[test]
+fn watches_that_fall_silent_at_the_same_time_are_reopened_in_time() {
+    for discovery_mode in DISCOVERY_MODES {
+        for gateways in [1, 30, 300, 2900] {
+            for seed in 0..5 {
+                let outage = Outage {
+                    gateways,
+                    discovery_mode,
+                    seed,
+                    fault: Fault::SilentInWatch,
+                    // Calls are answered again a moment later, but the open watches stay silent.
+                    duration: Duration::from_millis(1),
+                    ..HANGING_SERVICE
+                };
+                outage.assert_all_notified_in_time();
+            }
+        }
+    }
+}
+
+#[test]
+fn watches_that_fall_silent_after_a_late_head_are_reopened_in_time() {
+    for discovery_mode in DISCOVERY_MODES {
+        for seed in 0..10 {
+            let outage = Outage {
+                discovery_mode,
+                seed,
+                fault: Fault::LateWatch,
+                ..HANGING_SERVICE
+            };
+            outage.assert_all_notified_in_time();
+        }
+    }
+}
+
+#[test]
+fn a_fleet_is_notified_in_time_after_an_outage_of_any_length() {
+    for seed in 0..40 {
+        let outage = Outage {
+            gateways: 100,
+            fault: Fault::Mixed,
+            duration: Duration::from_millis(250 * (seed + 1)),
+            seed,
+            ..HANGING_SERVICE
+        };
+        outage.assert_all_notified_in_time();
+    }
+}
