--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod discovery_schedule;
 mod gateway;
+mod gossip_socket;
 mod log;
 mod notification_deadline;
 mod resp;
