Name the fields of listed endpoints in the field's terms, and adapt the log to the new event loop

Cause: ListedEndpoint kept names of the wire (uid, model, health, size, boot_ms) beside the engine's Endpoint, and its address was called endpoint. The split event loop logs other texts than the variants offered in `log`, and the engine no longer asks for log lines.

Change: name, address, hardware, state, weight, started_at_ms, as in Endpoint, with the call sites in endpoints/registry.rs and event_loop/endpoint_events.rs. The JSON keys stay. Event::MalformedResponses carries the last error, Event::RequestOverdue has the event loop's text, Event::Engine is gone. The tests of this part use the new names of the test support. One test of a log line added.

--- a/src/gateway/discovery/document.rs
+++ b/src/gateway/discovery/document.rs
@@ -56,7 +56,7 @@
 
 fn read_entry(entry: &Value) -> Option<ListedEndpoint> {
     let state = read_state(text(entry, "state")?)?;
-    let uid = text(entry, "uid").filter(|uid| !uid.is_empty())?;
+    let name = text(entry, "uid").filter(|name| !name.is_empty())?;
     // Nothing else about a removed endpoint matters, and its removal must not be missed: defaults stand in for
     // what is absent or malformed.
     let removed = state == EndpointState::Removed;
@@ -66,14 +66,14 @@
         .and_then(Value::as_u64)
         .and_then(|cell| u32::try_from(cell).ok());
     Some(ListedEndpoint {
-        uid: uid.to_string(),
-        endpoint: address.or(removed.then_some(UNKNOWN_ADDRESS))?,
+        name: name.to_string(),
+        address: address.or(removed.then_some(UNKNOWN_ADDRESS))?,
         zone: text(entry, "az").unwrap_or_default().to_string(),
-        model: text(entry, "model").unwrap_or_default().to_string(),
+        hardware: text(entry, "model").unwrap_or_default().to_string(),
         cell: cell.or(removed.then_some(0))?,
-        health: state,
-        size: non_negative(entry, "capacity_hint").unwrap_or(DEFAULT_WEIGHT),
-        boot_ms: non_negative(entry, "boot_ms").unwrap_or(0.0),
+        state,
+        weight: non_negative(entry, "capacity_hint").unwrap_or(DEFAULT_WEIGHT),
+        started_at_ms: non_negative(entry, "boot_ms").unwrap_or(0.0),
     })
 }
 
--- a/src/gateway/discovery/mod.rs
+++ b/src/gateway/discovery/mod.rs
@@ -39,21 +39,21 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListedEndpoint {
     /// The unique name of the endpoint, the same at every gateway.
-    pub uid: String,
+    pub name: String,
     /// The address at which the endpoint listens.
-    pub endpoint: SocketAddr,
+    pub address: SocketAddr,
     /// The name of the availability zone.
     pub zone: String,
     /// The name of the hardware model.
-    pub model: String,
+    pub hardware: String,
     /// The number of the cell.
     pub cell: u32,
     /// Whether the endpoint takes new requests.
-    pub health: EndpointState,
+    pub state: EndpointState,
     /// The registered capacity, relative to that of other endpoints.
-    pub size: f64,
+    pub weight: f64,
     /// The time of the last start in milliseconds of Unix time; 0 if it was long ago.
-    pub boot_ms: f64,
+    pub started_at_ms: f64,
 }
 
 /// A snapshot of the endpoint list, or a delta to it.
--- a/src/gateway/endpoints/registry.rs
+++ b/src/gateway/endpoints/registry.rs
@@ -60,7 +60,7 @@
             self.mark_unlisted_as_removed(&update.endpoints);
         }
         for listed in &update.endpoints {
-            let name: EndpointName = listed.uid.as_str().into();
+            let name: EndpointName = listed.name.as_str().into();
             if self.is_ready_at_new_address(&name, listed) {
                 at_new_address.push(name.clone());
             }
@@ -75,7 +75,7 @@
     }
 
     fn mark_unlisted_as_removed(&mut self, listed: &[ListedEndpoint]) {
-        let listed_names: HashSet<&str> = listed.iter().map(|line| line.uid.as_str()).collect();
+        let listed_names: HashSet<&str> = listed.iter().map(|line| line.name.as_str()).collect();
         for (name, entry) in &mut self.endpoints {
             if !listed_names.contains(&**name) {
                 entry.state = EndpointState::Removed;
@@ -84,11 +84,11 @@
     }
 
     fn is_ready_at_new_address(&self, name: &EndpointName, listed: &ListedEndpoint) -> bool {
-        listed.health == EndpointState::Ready
+        listed.state == EndpointState::Ready
             && self
                 .endpoints
                 .get(name)
-                .is_none_or(|entry| entry.address != listed.endpoint)
+                .is_none_or(|entry| entry.address != listed.address)
     }
 
     /// Applies one line of an update. Returns whether the endpoint has restarted since the line before.
@@ -97,21 +97,21 @@
             .endpoints
             .entry(name.clone())
             .or_insert_with(|| EndpointEntry {
-                address: listed.endpoint,
-                state: listed.health,
+                address: listed.address,
+                state: listed.state,
                 incarnation: 0,
-                started_at_ms: listed.boot_ms,
+                started_at_ms: listed.started_at_ms,
                 idle: IdleConnections::default(),
             });
         // At a new address alone the old process may still answer what it has, so that is no restart.
-        let has_restarted = listed.boot_ms > entry.started_at_ms;
-        if has_restarted || entry.address != listed.endpoint {
+        let has_restarted = listed.started_at_ms > entry.started_at_ms;
+        if has_restarted || entry.address != listed.address {
             entry.incarnation += 1;
             entry.idle.close_all();
         }
-        entry.address = listed.endpoint;
-        entry.state = listed.health;
-        entry.started_at_ms = listed.boot_ms;
+        entry.address = listed.address;
+        entry.state = listed.state;
+        entry.started_at_ms = listed.started_at_ms;
         has_restarted
     }
 
--- a/src/gateway/event_loop/endpoint_events.rs
+++ b/src/gateway/event_loop/endpoint_events.rs
@@ -179,13 +179,13 @@
 
 fn engine_endpoint(listed: &ListedEndpoint, document: &SettingsDocument) -> Endpoint {
     Endpoint {
-        name: listed.uid.as_str().into(),
+        name: listed.name.as_str().into(),
         zone: index_of(&document.zones, &listed.zone),
         cell: listed.cell,
-        hardware: index_of(&document.hardware_kinds, &listed.model),
-        weight: listed.size,
-        state: listed.health,
-        started_at_ms: listed.boot_ms,
+        hardware: index_of(&document.hardware_kinds, &listed.hardware),
+        weight: listed.weight,
+        state: listed.state,
+        started_at_ms: listed.started_at_ms,
     }
 }
 
--- a/src/gateway/log.rs
+++ b/src/gateway/log.rs
@@ -8,6 +8,7 @@
 use crate::gateway::configuration::ConfigurationError;
 use crate::gateway::discovery::DiscoveryError;
 use crate::gateway::startup::StartupError;
+use std::error::Error;
 use std::fmt::{self, Display, Formatter};
 use std::io;
 use std::net::SocketAddr;
@@ -78,14 +79,11 @@
         count: u32,
         /// The endpoint that sent the last of them.
         last_endpoint: &'a str,
+        /// What was wrong with the last of them.
+        last_error: &'a dyn Error,
     },
     /// The gateway failed to answer a request by the client's deadline.
     RequestOverdue,
-    /// The decision engine has something to report.
-    Engine {
-        /// The report.
-        text: &'a str,
-    },
 }
 
 /// Writes one line about the event to standard error.
@@ -111,7 +109,6 @@
             Event::AcceptFailed { .. } => "accept_failed",
             Event::MalformedResponses { .. } => "malformed_responses",
             Event::RequestOverdue => "request_overdue",
-            Event::Engine { .. } => "engine",
         }
     }
 
@@ -133,12 +130,12 @@
             Event::MalformedResponses {
                 count,
                 last_endpoint,
+                ..
             } => write!(formatter, " count={count} last_endpoint={last_endpoint}"),
             Event::StartupFailed { .. }
             | Event::ConfigurationReloadFailed { .. }
             | Event::AcceptFailed { .. }
-            | Event::RequestOverdue
-            | Event::Engine { .. } => Ok(()),
+            | Event::RequestOverdue => Ok(()),
         }
     }
 
@@ -182,14 +179,14 @@
             Event::MalformedResponses {
                 count,
                 last_endpoint,
+                last_error,
             } => write!(
                 formatter,
-                "{count} responses of endpoints could not be read, the last from {last_endpoint}"
+                "{count} malformed responses, the last from {last_endpoint}: {last_error}"
             ),
             Event::RequestOverdue => {
-                formatter.write_str("a request was not settled in time; it is failed")
+                formatter.write_str("a request had no answer at its deadline, and fails")
             }
-            Event::Engine { text } => formatter.write_str(text),
         }
     }
 }
--- a/tests/gateway/bind.rs
+++ b/tests/gateway/bind.rs
@@ -1,6 +1,6 @@
 //! Binding an address that is in use, in virtual time.
 
-use crate::support::ANY;
+use crate::support::ANY_PORT;
 use marlshelf::gateway::bind::{BIND_TIMEOUT, SocketPurpose, bind_with_retry};
 use std::cell::Cell;
 use std::io::ErrorKind;
@@ -22,7 +22,7 @@
 #[test]
 fn an_address_that_stays_in_use_fails_after_the_timeout_with_a_message_that_names_it() {
     run_in_virtual_time(async {
-        let occupant = std::net::TcpListener::bind(ANY).expect("a port");
+        let occupant = std::net::TcpListener::bind(ANY_PORT).expect("a port");
         let address = occupant.local_addr().expect("bound");
         let (started_at, attempts) = (Instant::now(), Cell::new(0));
         let bind = async |address: SocketAddr| {
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -1,6 +1,6 @@
 //! The discovery client: endpoint lists, frames of a watch, and calls that fail.
 
-use crate::support::*;
+use crate::support::{ANY_PORT, TEST_TIMEOUT, run_local, test_configuration};
 use marlshelf::EndpointState;
 use marlshelf::gateway::discovery::{
     self, Connect, EndpointUpdate, Frame, FrameDecoder, FrameError, PollSchedule, Tcp,
@@ -132,13 +132,13 @@
     let names: Vec<&str> = update
         .endpoints
         .iter()
-        .map(|listed| listed.uid.as_str())
+        .map(|listed| listed.name.as_str())
         .collect();
     assert_eq!(names, ["a", "b"]);
     assert_eq!(update.endpoints[0].cell, 2);
-    assert_eq!(update.endpoints[0].size, 3.0);
+    assert_eq!(update.endpoints[0].weight, 3.0);
     // A removal counts whatever else the entry lacks.
-    assert_eq!(update.endpoints[1].health, EndpointState::Removed);
+    assert_eq!(update.endpoints[1].state, EndpointState::Removed);
 }
 
 /// A gateway that follows discovery, and has received the first line of its first watch.
@@ -151,9 +151,9 @@
 
 async fn follow_until_first_line() -> FollowedDiscovery {
     tokio::time::pause();
-    let listener = TcpListener::bind(ANY).await.expect("a port");
+    let listener = TcpListener::bind(ANY_PORT).await.expect("a port");
     let address = listener.local_addr().expect("bound");
-    let configuration = config(address);
+    let configuration = test_configuration(address);
     let schedule = PollSchedule::new(&configuration.document, 7);
     let gateway = Gateway::new(configuration, None, 8).expect("valid settings");
     let (address_sender, address) = watch::channel(address);
@@ -188,7 +188,7 @@
 
 #[test]
 fn a_silent_watch_leaves_time_for_two_calls_that_hang() {
-    play(async {
+    run_local(async {
         let followed = follow_until_first_line().await;
         let last_received_at = Instant::now();
         let mut hanging_calls = Vec::new();
@@ -206,7 +206,7 @@
 
 #[test]
 fn pieces_of_a_line_without_an_end_do_not_keep_a_watch_alive() {
-    play(async {
+    run_local(async {
         let FollowedDiscovery {
             listener,
             mut watch,
@@ -219,7 +219,7 @@
             std::future::pending().await
         };
         let next_call = async {
-            timeout(LONG, listener.accept())
+            timeout(TEST_TIMEOUT, listener.accept())
                 .await
                 .expect("the watch is opened again")
                 .expect("a call");
@@ -290,14 +290,14 @@
 
 #[test]
 fn a_reset_does_not_end_a_response_without_a_length() {
-    play(async {
+    run_local(async {
         tokio::time::pause();
         let address: SocketAddr = "127.0.0.1:1".parse().expect("an address");
         let updates = Rc::new(RefCell::new(Vec::new()));
         let sink = updates.clone();
         let on_update = move |update| sink.borrow_mut().push(update);
         let (_address_sender, address_receiver) = watch::channel(address);
-        let schedule = PollSchedule::new(&config(address).document, 7);
+        let schedule = PollSchedule::new(&test_configuration(address).document, 7);
         // The body looks complete, but more of it may have been lost with the reset.
         let connector = ResetAfterBody(EMPTY_LIST);
         spawn_local(discovery::follow(
--- a/tests/gateway/gateway.rs
+++ b/tests/gateway/gateway.rs
@@ -21,20 +21,20 @@
 
 fn ready_endpoint(name: &str, address: SocketAddr) -> ListedEndpoint {
     ListedEndpoint {
-        uid: name.into(),
-        endpoint: address,
+        name: name.into(),
+        address,
         zone: String::new(),
-        model: String::new(),
+        hardware: String::new(),
         cell: 0,
-        health: EndpointState::Ready,
-        size: 1.0,
-        boot_ms: 0.0,
+        state: EndpointState::Ready,
+        weight: 1.0,
+        started_at_ms: 0.0,
     }
 }
 
-fn in_state(endpoint: &ListedEndpoint, health: EndpointState) -> ListedEndpoint {
+fn in_state(endpoint: &ListedEndpoint, state: EndpointState) -> ListedEndpoint {
     ListedEndpoint {
-        health,
+        state,
         ..endpoint.clone()
     }
 }
@@ -306,7 +306,7 @@
         disconnect_unseen_by_runtime(&client, &clients);
         // A restart of the endpoint fails the first request, which makes space in the pipeline.
         let restarted = ListedEndpoint {
-            boot_ms: 1.0,
+            started_at_ms: 1.0,
             ..ready_endpoint("s-1", address)
         };
         list_change(&gateway, 2, restarted);
--- a/tests/gateway/log.rs
+++ b/tests/gateway/log.rs
@@ -58,6 +58,23 @@
 
 #[test]
 fn an_event_without_fields_has_its_sentence_right_after_its_name() {
-    let line = Event::Engine { text: "report" }.to_string();
-    assert_eq!(line, "marlshelf-gateway: engine: report");
+    assert_eq!(
+        Event::RequestOverdue.to_string(),
+        "marlshelf-gateway: request_overdue: a request had no answer at its deadline, and fails"
+    );
+}
+
+#[test]
+fn malformed_responses_are_counted_in_one_line_with_the_last_of_them() {
+    let error = std::io::Error::other("unexpected byte");
+    let event = Event::MalformedResponses {
+        count: 3,
+        last_endpoint: "s-1",
+        last_error: &error,
+    };
+    assert_eq!(
+        event.to_string(),
+        "marlshelf-gateway: malformed_responses count=3 last_endpoint=s-1: \
+         3 malformed responses, the last from s-1: unexpected byte"
+    );
 }
--- a/tests/gateway/notification_deadline.rs
+++ b/tests/gateway/notification_deadline.rs
@@ -2,7 +2,7 @@
 //! a change within 6 s of the time at which discovery could be reached again.
 
 use crate::stand_in_discovery::{FAULTS, Fault, LATE_HEAD, Network, Service};
-use crate::support::LONG;
+use crate::support::TEST_TIMEOUT;
 use marlshelf::SettingsDocument;
 use marlshelf::gateway::discovery::{self, EndpointUpdate, PollSchedule};
 use rand::{Rng, SeedableRng};
@@ -104,7 +104,7 @@
                 sleep(Duration::from_millis(10)).await;
             }
         };
-        timeout(2 * LONG, all_notified)
+        timeout(2 * TEST_TIMEOUT, all_notified)
             .await
             .unwrap_or_else(|_| panic!("{} are not notified", self.gateways_without(revision)));
         let notifications = self.notifications.borrow();
