--- a/src/gateway/clients/listener.rs
+++ b/src/gateway/clients/listener.rs
@@ -4,6 +4,7 @@
 use super::schema::RequestSchema;
 use super::serve::ConnectionTask;
 use super::{ClientEvent, ClientEventHandler};
+use crate::gateway::log::{self, Event};
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,7 +57,7 @@
                 Err(error) => {
                     // One line for each series of errors.
                     if !is_failing {
-                        eprintln!("marlshelf-gateway: cannot accept a connection: {error}");
+                        log::event(&Event::AcceptFailed { error: &error });
                     }
                     is_failing = true;
                     // Most likely the process is out of descriptors: closing a connection frees one.
--- a/src/gateway/clients/schema.rs
+++ b/src/gateway/clients/schema.rs
@@ -3,7 +3,7 @@
 use crate::{IdempotencyDocument, SettingsDocument};
 
 /// The names and limits that the settings define for requests. Classes and plans are known by their index.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct RequestSchema {
     classes: Vec<ClassSchema>,
     plan_names: Vec<String>,
@@ -12,7 +12,7 @@
 }
 
 /// What the settings define for the requests of a class.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct ClassSchema {
     name: String,
     pub(super) idempotency: IdempotencyDocument,
--- a/src/gateway/event_loop/endpoint_events.rs
+++ b/src/gateway/event_loop/endpoint_events.rs
@@ -7,6 +7,7 @@
 };
 use crate::gateway::event_loop::Gateway;
 use crate::gateway::event_loop::attempts::ResponseReports;
+use crate::gateway::log::{self, Event as LogEvent};
 use crate::{
     AttemptResult, Endpoint, EndpointListKind, EndpointName, EndpointState, Event, SettingsDocument,
 };
@@ -22,10 +23,11 @@
 
 impl MalformedResponses {
     pub fn log(&self) {
-        eprintln!(
-            "marlshelf-gateway: {} malformed responses, the last from {}: {}",
-            self.count, self.last_endpoint, self.last_error
-        );
+        log::event(&LogEvent::MalformedResponses {
+            count: self.count,
+            last_endpoint: &self.last_endpoint,
+            last_error: &self.last_error,
+        });
     }
 }
 
@@ -179,13 +181,13 @@
 
 fn engine_endpoint(listed: &ListedEndpoint, document: &SettingsDocument) -> Endpoint {
     Endpoint {
-        name: listed.uid.as_str().into(),
+        name: listed.name.as_str().into(),
         zone: index_of(&document.zones, &listed.zone),
         cell: listed.cell,
-        hardware: index_of(&document.hardware_kinds, &listed.model),
-        weight: listed.size,
-        state: listed.health,
-        started_at_ms: listed.boot_ms,
+        hardware: index_of(&document.hardware_kinds, &listed.hardware),
+        weight: listed.weight,
+        state: listed.state,
+        started_at_ms: listed.started_at_ms,
     }
 }
 
--- a/src/gateway/event_loop/mod.rs
+++ b/src/gateway/event_loop/mod.rs
@@ -24,6 +24,7 @@
 use crate::gateway::configuration::Configuration;
 use crate::gateway::endpoints::EndpointPool;
 use crate::gateway::gossip_socket::{GossipHandler, GossipSocket};
+use crate::gateway::log;
 use crate::{
     AttemptResult, DecisionEngine, Event, GatewayId, RequestId, Settings, SettingsDocument,
     SettingsError,
@@ -243,7 +244,7 @@
     /// a failure.
     fn answer_deadline_passed(&mut self, id: RequestId) {
         if self.now() < self.shutdown_deadline_ms {
-            eprintln!("marlshelf-gateway: a request had no answer at its deadline, and fails");
+            log::event(&log::Event::RequestOverdue);
         }
         let client = self
             .requests
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -96,7 +96,7 @@
 
 impl Server {
     async fn start() -> Server {
-        let socket = TcpListener::bind(ANY).await.expect("a port");
+        let socket = TcpListener::bind(ANY_PORT).await.expect("a port");
         let address = socket.local_addr().expect("bound");
         let connections = ClientConnections::new(8, 1 << 20);
         let handler = Rc::new(StubHandler::default());
@@ -153,7 +153,10 @@
 async fn wait_until(condition: impl Fn() -> bool) {
     let started = Instant::now();
     while !condition() {
-        assert!(started.elapsed() < LONG, "the condition is never met");
+        assert!(
+            started.elapsed() < TEST_TIMEOUT,
+            "the condition is never met"
+        );
         yield_now().await;
     }
 }
@@ -166,7 +169,9 @@
 async fn read_line(client: &mut TcpStream) -> String {
     let mut line = Vec::new();
     while !line.ends_with(b"\r\n") {
-        let byte = timeout(LONG, client.read_u8()).await.expect("a response");
+        let byte = timeout(TEST_TIMEOUT, client.read_u8())
+            .await
+            .expect("a response");
         line.push(byte.expect("the connection is open"));
     }
     line.truncate(line.len() - 2);
@@ -182,47 +187,51 @@
 
 #[test]
 fn command_that_arrived_before_its_connection_is_closed_is_answered() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let client = server.connect_and_ping().await;
-        let mut client = unseen(client, PING);
+        let mut client = write_unseen_by_runtime(client, PING);
         server.connections.close_soon();
-        assert_eq!(rest(&mut client).await, "+PONG\r\n");
+        assert_eq!(read_to_end(&mut client).await, "+PONG\r\n");
     });
 }
 
 #[test]
 fn partial_command_at_shutdown_is_completed_and_answered() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let client = server.connect_and_ping().await;
         let mut idle = server.connect_and_ping().await;
-        let mut client = unseen(client, &PING[..9]);
+        let mut client = write_unseen_by_runtime(client, &PING[..9]);
         server.connections.close_soon();
-        assert_eq!(rest(&mut idle).await, "", "an idle connection is closed");
+        assert_eq!(
+            read_to_end(&mut idle).await,
+            "",
+            "an idle connection is closed"
+        );
         send(&mut client, &PING[9..]).await;
-        assert_eq!(rest(&mut client).await, "+PONG\r\n");
+        assert_eq!(read_to_end(&mut client).await, "+PONG\r\n");
     });
 }
 
 #[test]
 fn command_that_arrived_before_the_request_timeout_is_answered() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let client = server.connect().await;
         wait_until(|| !server.connections.is_empty()).await;
-        let mut client = unseen(client, PING);
+        let mut client = write_unseen_by_runtime(client, PING);
         server
             .connections
             .expire(Instant::now() + REQUEST_TIMEOUT * 2);
         server.connections.close_soon();
-        assert_eq!(rest(&mut client).await, "+PONG\r\n");
+        assert_eq!(read_to_end(&mut client).await, "+PONG\r\n");
     });
 }
 
 #[test]
 fn connection_without_a_whole_command_in_time_is_told_and_closed() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut silent = server.connect().await;
         let mut partial = server.connect_and_ping().await;
@@ -237,15 +246,15 @@
             }
         });
         let expected = "-ERR protocol error: no whole command in time\r\n";
-        assert_eq!(rest(&mut silent).await, expected);
-        assert_eq!(rest(&mut partial).await, expected);
+        assert_eq!(read_to_end(&mut silent).await, expected);
+        assert_eq!(read_to_end(&mut partial).await, expected);
         assert_eq!(exchange(&mut idle, PING).await, "+PONG", "pauses are fine");
     });
 }
 
 #[test]
 fn disconnect_that_the_runtime_has_not_seen_yet_is_known() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let client = server.connect_and_ping().await;
         let _other = server.connect_and_ping().await;
@@ -254,14 +263,17 @@
         // The runtime does not run here, so only the socket itself can know.
         let started = Instant::now();
         while server.connections.disconnected_count() == 0 {
-            assert!(started.elapsed() < LONG, "only the runtime would see it");
+            assert!(
+                started.elapsed() < TEST_TIMEOUT,
+                "only the runtime would see it"
+            );
         }
     });
 }
 
 #[test]
 fn protocol_error_is_reported_behind_earlier_responses_and_closes() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         send(
@@ -272,7 +284,7 @@
         server.handler.wait_for_requests(1).await;
         server.handler.answer(0, "$2\r\nhi\r\n");
         assert_eq!(
-            rest(&mut client).await,
+            read_to_end(&mut client).await,
             "$2\r\nhi\r\n-ERR protocol error: an unexpected type\r\n"
         );
     });
@@ -282,7 +294,7 @@
 
 #[test]
 fn responses_leave_in_the_order_of_their_requests() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         let pipelined = [request(1), request(2), PING.to_vec(), request(3)].concat();
@@ -299,7 +311,7 @@
 
 #[test]
 fn answer_given_while_the_request_is_handled_is_written() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         server.handler.immediate_answer.set(Some(b"+now\r\n"));
         let mut client = server.connect().await;
@@ -309,7 +321,7 @@
 
 #[test]
 fn second_answer_to_a_request_is_ignored() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         send(&mut client, &request(1)).await;
@@ -323,7 +335,7 @@
 
 #[test]
 fn connection_with_too_many_undelivered_response_bytes_is_closed() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         send(&mut client, &[request(1), request(2)].concat()).await;
@@ -338,7 +350,7 @@
 
 #[test]
 fn only_unanswered_requests_of_a_closed_connection_are_reported() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         send(&mut client, &[request(1), request(2), request(3)].concat()).await;
@@ -356,7 +368,7 @@
 
 #[test]
 fn request_is_rejected_as_busy_when_the_handler_has_no_capacity() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         server.handler.is_overloaded.set(true);
         let mut client = server.connect().await;
@@ -367,7 +379,7 @@
 
 #[test]
 fn request_with_an_active_id_is_rejected() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         server.handler.active_client_ids.borrow_mut().push(7);
         let mut client = server.connect().await;
@@ -380,7 +392,7 @@
 
 #[test]
 fn commands_other_than_requests_are_answered_by_the_connection() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         let cases = [
@@ -471,7 +483,7 @@
         (with_effect("c=order"), "missing k"),
         (with_effect("c=order,k=1"), "missing d"),
     ];
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         for (sent, expected) in &cases {
@@ -489,7 +501,7 @@
 
 #[test]
 fn valid_request_is_handled_with_its_fields() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         let fields = "x=1,r=1,c=order,t=p,d=700,k=a,units=2.5,spread=2,first=1,r=0,r=1";
@@ -512,7 +524,7 @@
 
 #[test]
 fn deadline_of_the_class_limits_how_long_a_client_waits() {
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         send(&mut client, &request(1)).await;
@@ -525,7 +537,7 @@
 fn request_is_encoded_for_an_endpoint_with_only_its_deadline_changed() {
     let fields = |deadline| format!("c=order,t=p,d={deadline},k=a,units=1,spread=1,first=0");
     let encoded = |deadline| command(&["Q.DO", TENANT, TENANT, &fields(deadline), "body\r\n"]);
-    play(async {
+    run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
         let sent = encoded(9000);
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -15,12 +15,6 @@
 pub const ANY_PORT: &str = "127.0.0.1:0";
 pub const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
 
-// Interim: the former names, for the test files that still use them.
-pub use self::{
-    ANY_PORT as ANY, TEST_TIMEOUT as LONG, read_to_end as rest, run_local as play,
-    test_configuration as config, write_unseen_by_runtime as unseen,
-};
-
 /// The configuration of a gateway that is alone in its fleet.
 pub fn test_configuration(address: SocketAddr) -> Configuration {
     let document: SettingsDocument = serde_json::from_value(serde_json::json!({
@@ -36,13 +30,13 @@
     .expect("valid settings");
     Configuration {
         name: String::new(),
-        listen: address,
-        discovery: address,
+        listen_address: address,
+        discovery_address: address,
         seed: 1,
-        sockets: 64,
-        memory: 32 << 20,
-        peer_listen: None,
-        peers: Vec::new(),
+        max_descriptors: 64,
+        max_memory_bytes: 32 << 20,
+        gossip_address: None,
+        peer_addresses: Vec::new(),
         known_endpoints: None,
         settings: document.settings(),
         document,
