--- a/examples/decision_digest/endpoint.rs
+++ b/examples/decision_digest/endpoint.rs
@@ -26,11 +26,11 @@
 pub struct EndpointPool {
     /// How many there are at the start.
     pub count: usize,
-    /// SimulatedEndpoint `k` stands in zone `k % zones`.
+    /// `SimulatedEndpoint` `k` stands in zone `k % zones`.
     pub zones: u32,
-    /// SimulatedEndpoint `k` stands in cell `k % cells`.
+    /// `SimulatedEndpoint` `k` stands in cell `k % cells`.
     pub cells: u32,
-    /// SimulatedEndpoint `k` is of kind `k % kinds`; each kind is slower than the one before.
+    /// `SimulatedEndpoint` `k` is of kind `k % kinds`; each kind is slower than the one before.
     pub kinds: u32,
     /// Whether endpoints are listed with a size that is zero, negative, tiny or not a number.
     pub odd_sizes: bool,
@@ -76,7 +76,7 @@
 }
 
 impl SimulatedEndpoint {
-    /// SimulatedEndpoint number `index` of the pool, under a name of the caller's choice.
+    /// `SimulatedEndpoint` number `index` of the pool, under a name of the caller's choice.
     pub fn new(
         pool: &EndpointPool,
         index: usize,
--- a/examples/decision_digest/fleet.rs
+++ b/examples/decision_digest/fleet.rs
@@ -340,7 +340,7 @@
         if self.rng.random() {
             Some((self.now, AttemptResult::NeverSent))
         } else {
-            Some(((self.now + at) / 2.0, AttemptResult::Cancelled))
+            Some((f64::midpoint(self.now, at), AttemptResult::Cancelled))
         }
     }
 
@@ -355,7 +355,7 @@
         if ending == AttemptResult::Success {
             open.client_waits = false;
         }
-        let (last, gateway, units) = (!open.client_waits, open.call.gateway, open.call.units);
+        let (is_last, gateway, units) = (!open.client_waits, open.call.gateway, open.call.units);
         let lost = open.life != self.gateways[gateway].life;
         let traffic = &self.scenario.traffic;
         let true_units =
@@ -373,7 +373,7 @@
             endpoint: endpoint.line.name.clone(),
             result: ending,
             latency_ms: self.now - attempt.sent,
-            request_ended: last,
+            request_ended: is_last,
             metered_use: reported.then_some(factor),
             actual_cost: true_units.then_some((units * factor * 10.0).round() / 10.0),
             load_report: reported.then(|| endpoint.report(self.now)),
--- a/src/endpoint_model/mod.rs
+++ b/src/endpoint_model/mod.rs
@@ -43,8 +43,8 @@
         };
         let mean_latency_ms = initial_mean_latency_ms(&context);
         let fleet = FleetEstimates {
-            class_service_time_ms,
             mean_latency_ms,
+            class_service_time_ms,
             ..FleetEstimates::default()
         };
         EndpointModel {
--- a/src/gateway/event_loop/endpoint_events.rs
+++ b/src/gateway/event_loop/endpoint_events.rs
@@ -52,14 +52,14 @@
 
 impl Gateway {
     /// The list of endpoints has changed.
-    pub fn endpoints_changed(&mut self, update: EndpointUpdate) {
-        let change = self.endpoints.apply_update(&update);
+    pub fn endpoints_changed(&mut self, update: &EndpointUpdate) {
+        let change = self.endpoints.apply_update(update);
         let kind = if update.snapshot {
             EndpointListKind::Snapshot
         } else {
             EndpointListKind::Delta
         };
-        let endpoints = engine_endpoints(&update, &change.replaced, &self.document);
+        let endpoints = engine_endpoints(update, &change.replaced, &self.document);
         self.handle_event(Event::EndpointsChanged { kind, endpoints });
         // An endpoint that has restarted never answers what it had before. If its whole machine restarted, the
         // connection is half open, and would not tell.
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -161,7 +161,7 @@
             .filter(|list| !list.endpoints.is_empty())
             .map(|list| list.revision);
         if let Some(list) = cached_list {
-            gateway.borrow_mut().endpoints_changed(list);
+            gateway.borrow_mut().endpoints_changed(&list);
         }
         // Set after the cached list, which would count as the first list otherwise.
         let first_list = Rc::new(Notify::new());
@@ -193,7 +193,7 @@
         let gateway = self.gateway;
         tasks.start(discovery::follow(
             Tcp,
-            move |update| gateway.borrow_mut().endpoints_changed(update),
+            move |update| gateway.borrow_mut().endpoints_changed(&update),
             discovery_address,
             self.cached_revision,
             self.poll_schedule,
--- a/tests/decisions/quota_leases.rs
+++ b/tests/decisions/quota_leases.rs
@@ -10,7 +10,7 @@
 
 #[test]
 fn request_is_forwarded_from_the_fallback_allotment_when_the_owner_stays_silent() {
-    let mut pair = GatewayPair::new(settings());
+    let mut pair = GatewayPair::new(&settings());
     pair.partitioned = true;
     for gateway in [0, 1] {
         let actions = pair.receive(gateway, request(1, 0.0).plan(SMALL_QUOTA));
@@ -39,7 +39,7 @@
 
 #[test]
 fn lost_quota_request_is_retried_and_charged_once() {
-    let mut pair = GatewayPair::new(settings());
+    let mut pair = GatewayPair::new(&settings());
     let undecided = pair.receive_at_non_owner(1000.0);
     let Timer { token, delay_ms } = undecided.timer;
     let actions = pair.fire_timer(undecided.gateway, 1000.0 + delay_ms, token);
@@ -63,7 +63,7 @@
     let mut settings = settings();
     settings.plans[SMALL_QUOTA] = quota_plan(10.0, 60.0);
     for gateway in [0, 1] {
-        let mut pair = GatewayPair::new(settings.clone());
+        let mut pair = GatewayPair::new(&settings);
         let forwarded: usize = (0..120)
             .map(|id| pair.serve(gateway, id, 50.0 * id as f64))
             .sum();
@@ -112,7 +112,7 @@
 fn usage_around_a_partition(refill_rate: f64) -> PartitionUsage {
     let mut settings = settings();
     settings.plans[SMALL_QUOTA] = quota_plan(refill_rate, 4.0);
-    let mut pair = GatewayPair::new(settings);
+    let mut pair = GatewayPair::new(&settings);
     let gateway = pair.receive_at_non_owner(0.0).gateway;
     let owner = 1 - gateway;
     pair.partitioned = true;
@@ -155,7 +155,7 @@
 fn restarted_gateway_does_not_repeat_request_numbers_of_its_former_incarnation() {
     let mut settings = settings();
     settings.plans[SMALL_QUOTA].refill_rate = 0.01;
-    let mut pair = GatewayPair::new(settings.clone());
+    let mut pair = GatewayPair::new(&settings);
     let gateway = pair.receive_at_non_owner(0.0).gateway;
     let of_incarnation = |incarnation: u64| {
         let settings = Settings {
--- a/tests/decisions/quota_owner.rs
+++ b/tests/decisions/quota_owner.rs
@@ -38,7 +38,7 @@
 #[test]
 fn gateways_of_a_shard_share_one_token_bucket() {
     for gateway in [0, 1] {
-        let mut pair = GatewayPair::new(settings());
+        let mut pair = GatewayPair::new(&settings());
         let in_three_seconds: usize = (0..30)
             .map(|id| pair.serve(gateway, id, 100.0 * id as f64))
             .sum();
--- a/tests/decisions/support/gateway_pair.rs
+++ b/tests/decisions/support/gateway_pair.rs
@@ -45,7 +45,7 @@
 }
 
 impl GatewayPair {
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(settings: &Settings) -> Self {
         let of_gateway = |gateway| {
             TestGateway::new(Settings {
                 gateway,
--- a/tests/decisions/support/simulated_endpoint.rs
+++ b/tests/decisions/support/simulated_endpoint.rs
@@ -137,7 +137,7 @@
     fn tolerated_work(&self, window_end_ms: f64) -> f64 {
         // Capacity rises evenly, so that its mean over the window is that of the middle.
         let window_start_ms = (window_end_ms - OVERLOAD_WINDOW_MS).max(self.started_at_ms);
-        let middle_ms = (window_start_ms + window_end_ms) / 2.0;
+        let middle_ms = f64::midpoint(window_start_ms, window_end_ms);
         let mean = OVERLOAD_MULTIPLE * self.capacity * self.warmth(middle_ms) * OVERLOAD_WINDOW_MS
             / 1000.0;
         mean + 2.0 * mean.sqrt() + 2.0
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -410,12 +410,16 @@
     });
 }
 
-#[test]
-fn invalid_request_is_answered_with_its_error_and_stays_connected() {
+type InvalidRequest = (Vec<u8>, &'static str);
+
+/// A request with these fields, of the command for idempotent classes or for all others.
+fn request_with_fields(name: &str, fields: &str) -> Vec<u8> {
+    command(&[name, TENANT, TENANT, fields])
+}
+
+fn requests_with_invalid_parts() -> Vec<InvalidRequest> {
     let ask = |tenant: &str, id: &str, fields: &str| command(&["Q.ASK", tenant, id, fields]);
-    let with_fields = |fields: &str| ask(TENANT, TENANT, fields);
-    let with_effect = |fields: &str| command(&["Q.DO", TENANT, TENANT, fields]);
-    let cases = [
+    vec![
         (
             command(&["Q.ASK", TENANT, TENANT]),
             "wrong number of arguments",
@@ -435,54 +439,65 @@
         ),
         (ask(TENANT, "short", VALID_FIELDS), "bad id"),
         (ask(TENANT, "zzzzzzzzzzzzzzzz", VALID_FIELDS), "bad id"),
-        (with_fields(""), "bad fields"),
-        (with_fields("c=read,nonsense"), "bad fields"),
-        (with_fields("c=none,t=p"), "bad c"),
-        (with_fields("c=read,t=none"), "bad t"),
-        (with_fields("d=0"), "bad d"),
-        (with_fields("d=-1"), "bad d"),
-        (with_fields("d=+1"), "bad d"),
-        (with_fields("d="), "bad d"),
-        (with_fields("d=1.5"), "bad d"),
-        (with_fields("d=60001"), "bad d"),
-        (with_fields("units=0"), "bad units"),
-        (with_fields("units=NaN"), "bad units"),
-        (with_fields("units=4.5"), "bad units"),
-        (with_fields("first=2"), "bad first"),
-        (with_fields("spread=0"), "bad spread"),
-        (with_fields("spread=3"), "bad spread"),
-        (with_fields("k="), "bad k"),
-        (with_fields("c=read,c=read"), "a field stands twice"),
-        (with_fields("d=9,d=9"), "a field stands twice"),
-        (with_fields("d=9,d=x"), "bad d"),
-        (with_fields("k=1,k=2"), "a field stands twice"),
-        (with_fields("t=p,d=9,units=1,spread=1,first=0"), "missing c"),
-        (
-            with_fields("c=read,d=9,units=1,spread=1,first=0"),
-            "missing t",
-        ),
-        (
-            with_fields("c=read,t=p,units=1,spread=1,first=0"),
-            "missing d",
-        ),
-        (
-            with_fields("c=read,t=p,d=9,spread=1,first=0"),
-            "missing units",
-        ),
-        (
-            with_fields("c=read,t=p,d=9,units=1,spread=1"),
-            "missing first",
-        ),
-        (
-            with_fields("c=read,t=p,d=9,units=1,first=0"),
-            "missing spread",
-        ),
-        (with_fields("c=read"), "missing d"),
-        (with_fields("c=pay"), "not the command of this class"),
-        (with_effect("c=read"), "not the command of this class"),
-        (with_effect("c=order"), "missing k"),
-        (with_effect("c=order,k=1"), "missing d"),
+    ]
+}
+
+fn requests_with_invalid_fields() -> Vec<InvalidRequest> {
+    let fields = [
+        ("", "bad fields"),
+        ("c=read,nonsense", "bad fields"),
+        ("c=none,t=p", "bad c"),
+        ("c=read,t=none", "bad t"),
+        ("d=0", "bad d"),
+        ("d=-1", "bad d"),
+        ("d=+1", "bad d"),
+        ("d=", "bad d"),
+        ("d=1.5", "bad d"),
+        ("d=60001", "bad d"),
+        ("units=0", "bad units"),
+        ("units=NaN", "bad units"),
+        ("units=4.5", "bad units"),
+        ("first=2", "bad first"),
+        ("spread=0", "bad spread"),
+        ("spread=3", "bad spread"),
+        ("k=", "bad k"),
+        ("c=read,c=read", "a field stands twice"),
+        ("d=9,d=9", "a field stands twice"),
+        ("d=9,d=x", "bad d"),
+        ("k=1,k=2", "a field stands twice"),
     ];
+    fields
+        .map(|(fields, error)| (request_with_fields("Q.ASK", fields), error))
+        .to_vec()
+}
+
+fn requests_with_missing_fields() -> Vec<InvalidRequest> {
+    let fields = [
+        ("Q.ASK", "t=p,d=9,units=1,spread=1,first=0", "missing c"),
+        ("Q.ASK", "c=read,d=9,units=1,spread=1,first=0", "missing t"),
+        ("Q.ASK", "c=read,t=p,units=1,spread=1,first=0", "missing d"),
+        ("Q.ASK", "c=read,t=p,d=9,spread=1,first=0", "missing units"),
+        ("Q.ASK", "c=read,t=p,d=9,units=1,spread=1", "missing first"),
+        ("Q.ASK", "c=read,t=p,d=9,units=1,first=0", "missing spread"),
+        ("Q.ASK", "c=read", "missing d"),
+        ("Q.ASK", "c=pay", "not the command of this class"),
+        ("Q.DO", "c=read", "not the command of this class"),
+        ("Q.DO", "c=order", "missing k"),
+        ("Q.DO", "c=order,k=1", "missing d"),
+    ];
+    fields
+        .map(|(name, fields, error)| (request_with_fields(name, fields), error))
+        .to_vec()
+}
+
+#[test]
+fn invalid_request_is_answered_with_its_error_and_stays_connected() {
+    let cases = [
+        requests_with_invalid_parts(),
+        requests_with_invalid_fields(),
+        requests_with_missing_fields(),
+    ]
+    .concat();
     run_local(async {
         let server = Server::start().await;
         let mut client = server.connect().await;
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -102,7 +102,7 @@
 #[test]
 fn a_frame_without_an_end_is_an_error_before_it_fills_the_memory() {
     let mut decoder = FrameDecoder::default();
-    let piece = [b' '; 1 << 20];
+    let piece = vec![b' '; 1 << 20];
     let mut accepted = 0;
     let error = loop {
         match decoder.decode(&piece) {
@@ -157,7 +157,7 @@
     let schedule = PollSchedule::new(&configuration.document, 7);
     let gateway = Gateway::new(configuration, None, 8).expect("valid settings");
     let (address_sender, address) = watch::channel(address);
-    let on_update = move |update| gateway.borrow_mut().endpoints_changed(update);
+    let on_update = move |update| gateway.borrow_mut().endpoints_changed(&update);
     spawn_local(discovery::follow(Tcp, on_update, address, None, schedule));
     let (mut stream, _) = listener.accept().await.expect("a call");
     stream.set_nodelay(true).expect("a socket");
@@ -216,7 +216,7 @@
             while watch.write_all(b"1\r\n \r\n").await.is_ok() {
                 sleep(Duration::from_millis(500)).await;
             }
-            std::future::pending().await
+            std::future::pending::<()>().await;
         };
         let next_call = async {
             timeout(TEST_TIMEOUT, listener.accept())
--- a/tests/gateway/discovery_schedule.rs
+++ b/tests/gateway/discovery_schedule.rs
@@ -41,7 +41,7 @@
         let (mut busy_until, mut last_answer) = (Duration::ZERO, Duration::ZERO);
         while let Some(earliest) = (0..next_calls.len()).min_by_key(|k| next_calls[*k].0) {
             let (now, gateway) = next_calls.swap_remove(earliest);
-            if now > Duration::from_secs(60) {
+            if now > Duration::from_mins(1) {
                 return None;
             }
             if busy_until <= now + self.max_wait {
--- a/tests/gateway/gateway.rs
+++ b/tests/gateway/gateway.rs
@@ -40,7 +40,7 @@
 }
 
 fn list_snapshot(gateway: &GatewayHandle, endpoints: Vec<ListedEndpoint>) {
-    gateway.borrow_mut().endpoints_changed(EndpointUpdate {
+    gateway.borrow_mut().endpoints_changed(&EndpointUpdate {
         revision: 1,
         snapshot: true,
         endpoints,
@@ -48,7 +48,7 @@
 }
 
 fn list_change(gateway: &GatewayHandle, revision: u64, endpoint: ListedEndpoint) {
-    gateway.borrow_mut().endpoints_changed(EndpointUpdate {
+    gateway.borrow_mut().endpoints_changed(&EndpointUpdate {
         revision,
         snapshot: false,
         endpoints: vec![endpoint],
