Give requests, gateways and timers types of their own

Cause: ids were bare numbers, so that a request's id could be passed for a gateway's or a timer's.

Change: RequestId, GatewayId and TimerToken are newtypes in the events and everywhere behind them; the adapter translates the wire's numbers at its border.

--- a/examples/decision_digest/digest.rs
+++ b/examples/decision_digest/digest.rs
@@ -3,7 +3,7 @@
 //! The hash reads values only, in a fixed order and with tags of its own, so that it does not
 //! depend on the name of any type or field of the library.
 
-use marlshelf::Action;
+use marlshelf::{Action, GatewayId, RequestId, TimerToken};
 
 const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 const PRIME: u64 = 0x0000_0100_0000_01b3;
@@ -40,7 +40,7 @@
         self.float(now);
         match action {
             Action::Forward {
-                request: id,
+                request: RequestId(id),
                 endpoint: server,
                 deadline_ms: not_past,
             } => {
@@ -50,24 +50,29 @@
                 self.float(*not_past);
             }
             Action::Reject {
-                request: id,
+                request: RequestId(id),
                 retry_after_ms: pause,
             } => {
                 self.tag(2);
                 self.integer(*id);
                 self.float(*pause);
             }
-            Action::Fail { request: id } => {
+            Action::Fail {
+                request: RequestId(id),
+            } => {
                 self.tag(3);
                 self.integer(*id);
             }
-            Action::SendGossip { to, text } => {
+            Action::SendGossip {
+                to: GatewayId(to),
+                text,
+            } => {
                 self.tag(6);
                 self.integer(u64::from(*to));
                 self.text(text);
             }
             Action::SetTimer {
-                token,
+                token: TimerToken(token),
                 delay_ms: after,
             } => {
                 self.tag(7);
--- a/examples/decision_digest/fleet.rs
+++ b/examples/decision_digest/fleet.rs
@@ -8,7 +8,7 @@
 use crate::scenario::{Incident, Scenario};
 use marlshelf::{
     Action, AttemptOutcome, AttemptResult, DecisionEngine, Endpoint, EndpointListKind,
-    EndpointName, EndpointState, Event, Request, Settings,
+    EndpointName, EndpointState, Event, GatewayId, Request, RequestId, Settings, TimerToken,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -135,7 +135,7 @@
     fn control(&self, index: usize, life: u32) -> DecisionEngine {
         let me = index as u32;
         let settings = Settings {
-            gateway: me,
+            gateway: GatewayId(me),
             zone: me % self.scenario.gateway_zones,
             ..self.scenario.settings.clone()
         };
@@ -155,9 +155,20 @@
             Due::Retry(call) => self.request(call),
             Due::Departure(id) => self.departure(id),
             Due::AttemptEnd(id, number, ending) => self.attempt_end(id, number, ending),
-            Due::Note(to, from, text) => self.event(to, Event::GossipReceived { from, text }),
+            Due::Note(to, from, text) => self.event(
+                to,
+                Event::GossipReceived {
+                    from: GatewayId(from),
+                    text,
+                },
+            ),
             Due::Timer(gateway, life, token) if self.gateways[gateway].life == life => {
-                self.event(gateway, Event::TimerFired { token });
+                self.event(
+                    gateway,
+                    Event::TimerFired {
+                        token: TimerToken(token),
+                    },
+                );
             }
             Due::Timer(..) => {}
             Due::Endpoints(gateway, listing, servers) => {
@@ -190,18 +201,23 @@
     fn act(&mut self, gateway: usize, action: Action) {
         match action {
             Action::Forward {
-                request: id,
+                request: RequestId(id),
                 endpoint: server,
                 deadline_ms: not_past,
             } => self.send(id, &server, not_past),
             Action::Reject {
-                request: id,
+                request: RequestId(id),
                 retry_after_ms: pause,
             } => self.final_answer(id, pause),
-            Action::Fail { request: id } => self.final_answer(id, 0.0),
-            Action::SendGossip { to, text } => self.tell_note(gateway, to, text),
+            Action::Fail {
+                request: RequestId(id),
+            } => self.final_answer(id, 0.0),
+            Action::SendGossip {
+                to: GatewayId(to),
+                text,
+            } => self.tell_note(gateway, to, text),
             Action::SetTimer {
-                token,
+                token: TimerToken(token),
                 delay_ms: after,
             } => {
                 let life = self.gateways[gateway].life;
@@ -237,12 +253,12 @@
         self.put(leaves, Due::Departure(id));
         let (customer, first, spread) = self.clients.placement(call.tenant);
         let request = Request {
-            id,
+            id: RequestId(id),
             tenant: customer,
             class: call.class,
             plan: call.plan,
             cost: call.units,
-            shard_start: first,
+            shard_start: GatewayId(first),
             shard_size: spread,
             client_deadline_ms: give_up,
             is_retry: call.tries > 0,
@@ -268,7 +284,12 @@
             return;
         }
         let gateway = open.call.gateway;
-        self.event(gateway, Event::ClientDisconnected { request: id });
+        self.event(
+            gateway,
+            Event::ClientDisconnected {
+                request: RequestId(id),
+            },
+        );
         self.forget_finished(id);
     }
 
@@ -368,7 +389,7 @@
         let factor = self.rng.random_range(0.5..1.6f64);
         let endpoint = &mut self.endpoints[attempt.endpoint];
         let outcome = AttemptOutcome {
-            request: id,
+            request: RequestId(id),
             attempt: number,
             endpoint: endpoint.line.name.clone(),
             result: ending,
--- a/src/bin/marlshelf-simulator-adapter/frames.rs
+++ b/src/bin/marlshelf-simulator-adapter/frames.rs
@@ -5,7 +5,7 @@
 //!
 //! Times are in milliseconds on the simulator's clock.
 
-use marlshelf::{EndpointName, GatewayId, RequestId, SettingsDocument, TenantName, TimerToken};
+use marlshelf::{EndpointName, SettingsDocument, TenantName};
 use serde::Deserialize;
 use std::sync::Arc;
 
@@ -163,7 +163,7 @@
     #[serde(rename = "GatekeeperId")]
     pub instance: InstanceName,
     #[serde(rename = "RequestId")]
-    pub request: RequestId,
+    pub request: u64,
     /// The first gateway of the tenant's shard.
     #[serde(rename = "First", default)]
     pub shard_start: f64,
@@ -207,7 +207,7 @@
     #[serde(rename = "GatekeeperId")]
     pub instance: InstanceName,
     #[serde(rename = "RequestId")]
-    pub request: RequestId,
+    pub request: u64,
     #[serde(rename = "Trial", default)]
     pub attempt: u32,
     #[serde(rename = "Worker")]
@@ -265,7 +265,7 @@
     #[serde(rename = "GatekeeperId")]
     pub instance: InstanceName,
     #[serde(rename = "RequestId")]
-    pub request: RequestId,
+    pub request: u64,
 }
 
 /// A gossip message from another gateway.
@@ -274,7 +274,7 @@
     #[serde(rename = "GatekeeperId")]
     pub instance: InstanceName,
     #[serde(rename = "Src", default)]
-    pub from: GatewayId,
+    pub from: u32,
     #[serde(rename = "Content", default)]
     pub text: String,
 }
@@ -285,5 +285,5 @@
     #[serde(rename = "GatekeeperId")]
     pub instance: InstanceName,
     #[serde(rename = "Nonce", default)]
-    pub token: TimerToken,
+    pub token: u64,
 }
--- a/src/bin/marlshelf-simulator-adapter/replies.rs
+++ b/src/bin/marlshelf-simulator-adapter/replies.rs
@@ -4,7 +4,6 @@
 //! fields is the order of the keys in the output.
 
 use crate::errors::FrameError;
-use marlshelf::{GatewayId, RequestId, TimerToken};
 use serde::Serialize;
 
 /// One line of the output.
@@ -17,7 +16,7 @@
         #[serde(rename = "GatekeeperId")]
         instance: &'a str,
         #[serde(rename = "RequestId")]
-        request: RequestId,
+        request: u64,
         #[serde(rename = "Worker")]
         endpoint: &'a str,
         #[serde(rename = "NotPast")]
@@ -29,7 +28,7 @@
         #[serde(rename = "GatekeeperId")]
         instance: &'a str,
         #[serde(rename = "RequestId")]
-        request: RequestId,
+        request: u64,
         #[serde(rename = "Pause")]
         retry_after_ms: f64,
     },
@@ -39,7 +38,7 @@
         #[serde(rename = "GatekeeperId")]
         instance: &'a str,
         #[serde(rename = "RequestId")]
-        request: RequestId,
+        request: u64,
     },
     /// Sends a gossip message.
     #[serde(rename = "Signal")]
@@ -47,7 +46,7 @@
         #[serde(rename = "GatekeeperId")]
         instance: &'a str,
         #[serde(rename = "NeighbourId")]
-        to: GatewayId,
+        to: u32,
         #[serde(rename = "Content")]
         text: &'a str,
     },
@@ -56,7 +55,7 @@
         #[serde(rename = "GatekeeperId")]
         instance: &'a str,
         #[serde(rename = "Nonce")]
-        token: TimerToken,
+        token: u64,
         #[serde(rename = "After")]
         delay_ms: f64,
     },
--- a/src/bin/marlshelf-simulator-adapter/translation.rs
+++ b/src/bin/marlshelf-simulator-adapter/translation.rs
@@ -8,7 +8,7 @@
 use crate::replies::Reply;
 use marlshelf::{
     Action, AttemptOutcome, AttemptResult, Endpoint, EndpointListKind, EndpointState, Event,
-    LoadReport, Request,
+    GatewayId, LoadReport, Request, RequestId, TimerToken,
 };
 
 /// An event of one instance.
@@ -53,13 +53,13 @@
 impl From<RequestReceived> for InstanceEvent {
     fn from(frame: RequestReceived) -> InstanceEvent {
         let event = Event::RequestReceived(Request {
-            id: frame.request,
+            id: RequestId(frame.request),
             tenant: frame.tenant.unwrap_or_else(|| "".into()),
             class: frame.class,
             plan: frame.plan,
             cost: frame.cost,
             // The wire has these whole numbers as floats. The conversion saturates.
-            shard_start: frame.shard_start as u32,
+            shard_start: GatewayId(frame.shard_start as u32),
             shard_size: frame.shard_size as u32,
             client_deadline_ms: frame.client_deadline_ms,
             is_retry: frame.flags & RETRY_FLAG != 0,
@@ -74,7 +74,7 @@
 impl From<AttemptFinished> for InstanceEvent {
     fn from(frame: AttemptFinished) -> InstanceEvent {
         let event = Event::AttemptFinished(AttemptOutcome {
-            request: frame.request,
+            request: RequestId(frame.request),
             attempt: frame.attempt,
             endpoint: frame.endpoint,
             result: frame.status.into(),
@@ -139,7 +139,7 @@
 impl From<ClientDisconnected> for InstanceEvent {
     fn from(frame: ClientDisconnected) -> InstanceEvent {
         let event = Event::ClientDisconnected {
-            request: frame.request,
+            request: RequestId(frame.request),
         };
         InstanceEvent {
             instance: frame.instance,
@@ -151,7 +151,7 @@
 impl From<GossipReceived> for InstanceEvent {
     fn from(frame: GossipReceived) -> InstanceEvent {
         let event = Event::GossipReceived {
-            from: frame.from,
+            from: GatewayId(frame.from),
             text: frame.text,
         };
         InstanceEvent {
@@ -163,7 +163,9 @@
 
 impl From<TimerFired> for InstanceEvent {
     fn from(frame: TimerFired) -> InstanceEvent {
-        let event = Event::TimerFired { token: frame.token };
+        let event = Event::TimerFired {
+            token: TimerToken(frame.token),
+        };
         InstanceEvent {
             instance: frame.instance,
             event,
@@ -180,7 +182,7 @@
             deadline_ms,
         } => Reply::Forward {
             instance,
-            request: *request,
+            request: request.0,
             endpoint,
             deadline_ms: *deadline_ms,
         },
@@ -189,21 +191,21 @@
             retry_after_ms,
         } => Reply::Reject {
             instance,
-            request: *request,
+            request: request.0,
             retry_after_ms: *retry_after_ms,
         },
         Action::Fail { request } => Reply::Fail {
             instance,
-            request: *request,
+            request: request.0,
         },
         Action::SendGossip { to, text } => Reply::SendGossip {
             instance,
-            to: *to,
+            to: to.0,
             text,
         },
         Action::SetTimer { token, delay_ms } => Reply::SetTimer {
             instance,
-            token: *token,
+            token: token.0,
             delay_ms: *delay_ms,
         },
     }
--- a/src/events.rs
+++ b/src/events.rs
@@ -15,13 +15,16 @@
 pub type TenantName = Arc<str>;
 
 /// The id of a request. The caller never uses an id twice.
-pub type RequestId = u64;
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct RequestId(pub u64);
 
 /// The number of a gateway in its fleet, from 0.
-pub type GatewayId = u32;
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct GatewayId(pub u32);
 
 /// A value that the engine chooses for a timer and gets back when the timer fires.
-pub type TimerToken = u64;
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerToken(pub u64);
 
 /// What the endpoint list says about an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
--- a/src/gateway/clients/connections.rs
+++ b/src/gateway/clients/connections.rs
@@ -22,7 +22,7 @@
 
 /// The table of all client connections.
 pub struct ClientConnections {
-    table: RefCell<HashMap<u64, Rc<ClientConnection>>>,
+    table: RefCell<HashMap<RequestId, Rc<ClientConnection>>>,
     max_connections: usize,
     closed: Notify,
     /// Whether all connections are being closed, and new ones are to be closed as well.
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -267,10 +267,10 @@
             path: path.to_string(),
             source,
         })?;
-    if settings.gateway >= settings.gateway_count {
+    if settings.gateway.0 >= settings.gateway_count {
         return Err(ConfigurationError::GatewayNumber {
             path: path.to_string(),
-            gateway: settings.gateway,
+            gateway: settings.gateway.0,
             gateway_count: settings.gateway_count,
         });
     }
--- a/src/gateway/event_loop/active_request.rs
+++ b/src/gateway/event_loop/active_request.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::clients::{ClientConnection, ClientRequest};
 use crate::gateway::endpoints::{ConnectionState, EndpointConnection};
-use crate::{EndpointName, Idempotency, Request, RequestClass, RequestId};
+use crate::{EndpointName, GatewayId, Idempotency, Request, RequestClass, RequestId};
 use std::rc::Rc;
 
 /// A request in flight: until its final answer, and beyond it while an attempt is still running.
@@ -68,7 +68,7 @@
             class: client_request.class,
             plan: client_request.plan,
             cost: client_request.cost,
-            shard_start: client_request.shard_start,
+            shard_start: GatewayId(client_request.shard_start),
             shard_size: client_request.shard_size,
             client_deadline_ms,
             is_retry: client_request.is_retry,
--- a/src/gateway/event_loop/request_table.rs
+++ b/src/gateway/event_loop/request_table.rs
@@ -27,13 +27,13 @@
             max_requests,
             max_memory_bytes,
             received: 0,
-            last_id: 0,
+            last_id: RequestId(0),
         }
     }
 
     /// Issues an id that was never used before.
     pub fn next_id(&mut self) -> RequestId {
-        self.last_id += 1;
+        self.last_id.0 += 1;
         self.last_id
     }
 
--- a/src/gateway/gossip_socket.rs
+++ b/src/gateway/gossip_socket.rs
@@ -37,7 +37,7 @@
 
     /// Sends a datagram if the socket takes it now. Gossip may be lost, so nothing waits for it.
     pub fn send(&self, to: GatewayId, text: &str) {
-        if let Some(address) = self.addresses.get(to as usize)
+        if let Some(address) = self.addresses.get(to.0 as usize)
             && text.len() <= MAX_DATAGRAM_BYTES
         {
             let _ = self.socket.try_send_to(text.as_bytes(), *address);
@@ -68,6 +68,6 @@
 
     fn gateway_at(&self, address: SocketAddr) -> Option<GatewayId> {
         let position = self.addresses.iter().position(|known| *known == address)?;
-        GatewayId::try_from(position).ok()
+        u32::try_from(position).ok().map(GatewayId)
     }
 }
--- a/src/gateway/startup.rs
+++ b/src/gateway/startup.rs
@@ -1,7 +1,6 @@
 //! Startup: binds the addresses, builds the parts of the gateway, starts their tasks, and waits for the first
 //! endpoint list.
 
-use crate::SettingsError;
 use crate::gateway::background_tasks::BackgroundTasks;
 use crate::gateway::bind::{BindError, SocketPurpose, bind_with_retry};
 use crate::gateway::clients::{ClientConnections, ClientListener, RequestSchema};
@@ -11,6 +10,7 @@
 use crate::gateway::gossip_socket::GossipSocket;
 use crate::gateway::signals::reload_on_hangup;
 use crate::gateway::startup_error::StartupError;
+use crate::{GatewayId, SettingsError};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -122,7 +122,7 @@
 /// The parts of a gateway before their tasks start.
 struct GatewayParts {
     name: String,
-    gateway_number: u32,
+    gateway_id: GatewayId,
     termination_grace: Duration,
     discovery_address: SocketAddr,
     gateway: GatewayHandle,
@@ -141,7 +141,7 @@
         gossip_socket: Option<UdpSocket>,
     ) -> Result<GatewayParts, SettingsError> {
         let name = std::mem::take(&mut configuration.name);
-        let gateway_number = configuration.settings.gateway;
+        let gateway_id = configuration.settings.gateway;
         let termination_grace = configuration.document.termination_grace();
         let discovery_address = configuration.discovery_address;
         let peer_addresses = std::mem::take(&mut configuration.peer_addresses);
@@ -168,7 +168,7 @@
         gateway.borrow_mut().first_list = first_list.clone();
         Ok(GatewayParts {
             name,
-            gateway_number,
+            gateway_id,
             termination_grace,
             discovery_address,
             gateway,
@@ -185,7 +185,7 @@
     fn start_tasks(self, hangup: Signal) -> BackgroundTasks {
         let mut tasks = BackgroundTasks::default();
         if let Some(gossip) = self.gossip {
-            tasks.start(gossip.listen(self.gateway.clone(), self.gateway_number));
+            tasks.start(gossip.listen(self.gateway.clone(), self.gateway_id));
         }
         tasks.start(Gateway::run_timers(self.gateway.clone()));
         tasks.start(self.clients.run_expiry());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,8 +8,8 @@
 //!
 //! ```
 //! use marlshelf::{
-//!     Action, DecisionEngine, Endpoint, EndpointListKind, EndpointState, Event, Idempotency, Plan, Request,
-//!     RequestClass, Settings,
+//!     Action, DecisionEngine, Endpoint, EndpointListKind, EndpointState, Event, GatewayId, Idempotency, Plan,
+//!     Request, RequestClass, RequestId, Settings,
 //! };
 //!
 //! let settings = Settings {
@@ -36,18 +36,18 @@
 //! let list = Event::EndpointsChanged { kind: EndpointListKind::Snapshot, endpoints: vec![endpoint] };
 //! engine.handle_event(0.0, list);
 //! let request = Request {
-//!     id: 1,
+//!     id: RequestId(1),
 //!     tenant: "acme".into(),
 //!     class: 0,
 //!     plan: 0,
 //!     cost: 1.0,
-//!     shard_start: 0,
+//!     shard_start: GatewayId(0),
 //!     shard_size: 1,
 //!     client_deadline_ms: 1000.0,
 //!     is_retry: false,
 //! };
 //! let actions = engine.handle_event(1.0, Event::RequestReceived(request));
-//! assert!(actions.iter().any(|action| matches!(action, Action::Forward { request: 1, .. })));
+//! assert!(actions.iter().any(|action| matches!(action, Action::Forward { request: RequestId(1), .. })));
 //! # Ok::<(), marlshelf::SettingsError>(())
 //! ```
 
--- a/src/records/action_sink.rs
+++ b/src/records/action_sink.rs
@@ -6,7 +6,7 @@
 use crate::gossip::{GossipMessage, QuotaRequestId, TenantKey, encode};
 
 /// The token of the gossip timer. Those above it are the numbers of quota requests, counted on from it.
-const GOSSIP_TIMER: TimerToken = 1;
+const GOSSIP_TIMER: TimerToken = TimerToken(1);
 
 /// What a timer was set for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,7 +22,7 @@
     pub(crate) fn of(token: TimerToken) -> TimerPurpose {
         match token {
             GOSSIP_TIMER => TimerPurpose::Gossip,
-            _ => TimerPurpose::Request(QuotaRequestId(token.saturating_sub(GOSSIP_TIMER))),
+            _ => TimerPurpose::Request(QuotaRequestId(token.0.saturating_sub(GOSSIP_TIMER.0))),
         }
     }
 }
@@ -74,7 +74,7 @@
     /// Sets a timer for a request.
     pub(crate) fn set_request_timer(&mut self, request: QuotaRequestId, delay_ms: f64) {
         self.actions.push(Action::SetTimer {
-            token: GOSSIP_TIMER + request.0,
+            token: TimerToken(GOSSIP_TIMER.0 + request.0),
             delay_ms,
         });
     }
--- a/src/records/gossip_outbox.rs
+++ b/src/records/gossip_outbox.rs
@@ -46,7 +46,7 @@
         GossipOutbox {
             limits,
             batches: BTreeMap::new(),
-            next_peer: 0,
+            next_peer: GatewayId(0),
             allowance: 0.0,
             allowance_at_ms: 0.0,
             timer_at_ms: None,
@@ -93,7 +93,7 @@
         let to = *next.or_else(|| self.batches.iter().find(due))?.0;
         let batch = self.batches.remove(&to)?;
         self.allowance -= 1.0;
-        self.next_peer = to + 1;
+        self.next_peer = GatewayId(to.0 + 1);
         Some(Datagram {
             to,
             text: batch.text,
--- a/src/records/requests.rs
+++ b/src/records/requests.rs
@@ -17,7 +17,7 @@
     pub(crate) fn of(request: &Request, gateway_count: u32) -> AccountId {
         let tenant = TenantKey::new(&request.tenant, request.plan);
         let offset = tenant.owner_offset(shard_size(request, gateway_count));
-        let owner = (request.shard_start + offset) % gateway_count;
+        let owner = GatewayId((request.shard_start.0 + offset) % gateway_count);
         AccountId {
             tenant,
             plan: request.plan,
--- a/src/settings_document.rs
+++ b/src/settings_document.rs
@@ -6,6 +6,7 @@
 //!
 //! Times are in milliseconds. Costs, bursts and slacks are in quota tokens, and rates in quota tokens per second.
 
+use crate::GatewayId;
 use crate::settings::{DeduplicationScope, Idempotency, Plan, RequestClass, Settings};
 use serde::Deserialize;
 use std::time::Duration;
@@ -253,7 +254,7 @@
     #[must_use]
     pub fn settings(&self) -> Settings {
         Settings {
-            gateway: self.gateway,
+            gateway: GatewayId(self.gateway),
             gateway_count: self.gateway_count,
             zone: self.zone,
             classes: self.classes.iter().map(RequestClass::from).collect(),
--- a/tests/decisions/concurrency_permits.rs
+++ b/tests/decisions/concurrency_permits.rs
@@ -5,7 +5,7 @@
 use crate::support::gossip_text::{Decision, decisions, fields, permit_renewal, permit_request};
 use crate::support::requests::{TestRequest, request, success};
 use crate::support::settings::{SMALL_QUOTA, TWO_PERMITS, fleet_settings, settings_without_gossip};
-use marlshelf::{Action, Plan, Settings};
+use marlshelf::{Action, GatewayId, Plan, Settings};
 
 /// A request for one of two permits that a shard of three gateways shares: none has a permit of its own.
 fn request_for_shared_permit(id: u64, now_ms: f64) -> TestRequest {
@@ -14,7 +14,7 @@
 
 fn gateway_of_three(gateway: u32) -> TestGateway {
     TestGateway::new(Settings {
-        gateway,
+        gateway: GatewayId(gateway),
         ..fleet_settings(3)
     })
 }
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -5,7 +5,7 @@
 use crate::support::quota_fleet::{GATEWAYS, QUOTA_PLAN, quota_fleet_settings};
 use crate::support::requests::{request, success};
 use crate::support::settings::{SMALL_QUOTA, fleet_settings};
-use marlshelf::{Action, Event, Settings};
+use marlshelf::{Action, Event, GatewayId, RequestId, Settings, TimerToken};
 use std::collections::BTreeSet;
 
 #[test]
@@ -103,12 +103,19 @@
         for TimedEvent { at_ms, event } in next_events(id, &mut timers) {
             for action in gateway.handle(at_ms, event) {
                 match action {
-                    Action::SetTimer { token, delay_ms } => timers.push(TimedEvent {
+                    Action::SetTimer {
+                        token: TimerToken(token),
+                        delay_ms,
+                    } => timers.push(TimedEvent {
                         at_ms: at_ms + delay_ms,
-                        event: Event::TimerFired { token },
+                        event: Event::TimerFired {
+                            token: TimerToken(token),
+                        },
                     }),
                     Action::Forward {
-                        request, endpoint, ..
+                        request: RequestId(request),
+                        endpoint,
+                        ..
                     } => {
                         gateway.finish(at_ms, success(request, &endpoint, 5.0));
                     }
@@ -122,7 +129,7 @@
 #[test]
 fn unconfirmed_usage_reported_after_a_long_silence_is_bounded() {
     let settings = Settings {
-        gateway: 0,
+        gateway: GatewayId(0),
         ..quota_fleet_settings()
     };
     let mut gateway = TestGateway::with_endpoints(settings, 7, vec![endpoint("s", 0)]);
--- a/tests/decisions/hard_limits.rs
+++ b/tests/decisions/hard_limits.rs
@@ -3,7 +3,7 @@
 use crate::support::gateway::TestGateway;
 use crate::support::requests::{request, success};
 use crate::support::settings::{HARD_LIMIT, fleet_settings};
-use marlshelf::{Action, Event, Settings};
+use marlshelf::{Action, Event, GatewayId, RequestId, Settings, TimerToken};
 
 const GATEWAYS: usize = 4;
 /// What a limit of 4 tokens a second and a burst of 16 with a slack of 2 allows in ten seconds.
@@ -78,27 +78,43 @@
     fn fire_due_timers(&mut self, now_ms: f64) {
         while let Some(index) = self.timers.iter().position(|t| t.due_at_ms <= now_ms) {
             let RequestTimer { gateway, token, .. } = self.timers.swap_remove(index);
-            self.pending.push((gateway, Event::TimerFired { token }));
+            self.pending.push((
+                gateway,
+                Event::TimerFired {
+                    token: TimerToken(token),
+                },
+            ));
         }
     }
 
     fn execute(&mut self, now_ms: f64, gateway: usize, action: Action) {
         match action {
-            Action::SendGossip { to, text } => {
+            Action::SendGossip {
+                to: GatewayId(to),
+                text,
+            } => {
                 self.datagrams += 1;
                 if self.datagrams % 3 >= self.overload.lost_of_three {
                     let from = gateway as u32;
-                    let received = Event::GossipReceived { from, text };
+                    let received = Event::GossipReceived {
+                        from: GatewayId(from),
+                        text,
+                    };
                     self.pending.push((to as usize, received));
                 }
             }
-            Action::SetTimer { token, delay_ms } => self.timers.push(RequestTimer {
+            Action::SetTimer {
+                token: TimerToken(token),
+                delay_ms,
+            } => self.timers.push(RequestTimer {
                 due_at_ms: now_ms + delay_ms,
                 gateway,
                 token,
             }),
             Action::Forward {
-                request, endpoint, ..
+                request: RequestId(request),
+                endpoint,
+                ..
             } => {
                 self.forwarded += 1;
                 let answered = Event::AttemptFinished(success(request, &endpoint, 5.0));
@@ -113,7 +129,7 @@
     (0..GATEWAYS as u32)
         .map(|gateway| {
             TestGateway::new(Settings {
-                gateway,
+                gateway: GatewayId(gateway),
                 ..fleet_settings(GATEWAYS as u32)
             })
         })
--- a/tests/decisions/load_balancing.rs
+++ b/tests/decisions/load_balancing.rs
@@ -4,7 +4,7 @@
 use crate::support::gateway::{TestGateway, endpoint, endpoints_of_one_zone};
 use crate::support::requests::{outcome, request};
 use crate::support::settings::{NON_IDEMPOTENT, fleet_settings, settings};
-use marlshelf::{AttemptResult, Endpoint, EndpointState, Settings};
+use marlshelf::{AttemptResult, Endpoint, EndpointState, GatewayId, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[test]
@@ -92,7 +92,7 @@
     };
     for id in 0..100u32 {
         let settings = Settings {
-            gateway: id,
+            gateway: GatewayId(id),
             ..fleet_settings(100)
         };
         let seed = u64::from(id) + 1;
--- a/tests/decisions/quota_leases.rs
+++ b/tests/decisions/quota_leases.rs
@@ -6,7 +6,7 @@
 use crate::support::gateway_pair::{GatewayPair, forwarded_count, request_timer};
 use crate::support::requests::request;
 use crate::support::settings::{SMALL_QUOTA, quota_plan, settings};
-use marlshelf::{Action, Event, Settings};
+use marlshelf::{Action, Event, GatewayId, Settings, TimerToken};
 
 #[test]
 fn request_is_forwarded_from_the_fallback_allotment_when_the_owner_stays_silent() {
@@ -89,7 +89,11 @@
     for step in 0..400u64 {
         let now_ms = 1000.0 + 10.0 * step as f64;
         let due = timers.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
-        let mut events: Vec<Event> = due.map(|(_, token)| Event::TimerFired { token }).collect();
+        let mut events: Vec<Event> = due
+            .map(|(_, token)| Event::TimerFired {
+                token: TimerToken(token),
+            })
+            .collect();
         if step % 40 == 0 {
             events.push(request(10 + step, now_ms).plan(SMALL_QUOTA).event());
         }
@@ -98,7 +102,11 @@
             .flat_map(|event| pair.handle(gateway, now_ms, event))
             .collect();
         for entry in &actions {
-            if let Action::SetTimer { token, delay_ms } = entry.action {
+            if let Action::SetTimer {
+                token: TimerToken(token),
+                delay_ms,
+            } = entry.action
+            {
                 timers.push((now_ms + delay_ms, token));
             }
             pair.answer_at_once(now_ms, entry);
@@ -119,7 +127,7 @@
     let unconfirmed = forwarded_during_partition(&mut pair, gateway);
     pair.partitioned = false;
     let first_gossip = Event::GossipReceived {
-        from: owner as u32,
+        from: GatewayId(owner as u32),
         text: String::new(),
     };
     pair.handle(gateway, 5000.0, first_gossip);
@@ -160,7 +168,7 @@
     let of_incarnation = |incarnation: u64| {
         let settings = Settings {
             gateway_count: 2,
-            gateway: gateway as u32,
+            gateway: GatewayId(gateway as u32),
             ..settings.clone()
         };
         TestGateway::without_endpoints(settings, 0x5eed << incarnation)
--- a/tests/decisions/request_lifecycle.rs
+++ b/tests/decisions/request_lifecycle.rs
@@ -4,7 +4,7 @@
 use crate::support::gateway::{TestGateway, default_endpoints};
 use crate::support::requests::{outcome, request, success};
 use crate::support::settings::{IDEMPOTENT, KEYED, settings};
-use marlshelf::{Action, AttemptResult, DecisionEngine, Event, Settings};
+use marlshelf::{Action, AttemptResult, DecisionEngine, Event, RequestId, Settings, TimerToken};
 
 #[test]
 fn request_without_endpoints_or_of_an_unknown_class_or_plan_is_rejected() {
@@ -42,8 +42,12 @@
     let mut gateway = TestGateway::new(settings());
     for event in [
         Event::AttemptFinished(success(77, "a", 1.0)),
-        Event::ClientDisconnected { request: 77 },
-        Event::TimerFired { token: 12345 },
+        Event::ClientDisconnected {
+            request: RequestId(77),
+        },
+        Event::TimerFired {
+            token: TimerToken(12345),
+        },
     ] {
         let actions = gateway.handle(1.0, event);
         assert!(
--- a/tests/decisions/slow_start.rs
+++ b/tests/decisions/slow_start.rs
@@ -4,7 +4,7 @@
 use crate::support::gateway::{TestGateway, endpoint};
 use crate::support::requests::request;
 use crate::support::settings::{fleet_settings, settings};
-use marlshelf::{Endpoint, EndpointState, Settings};
+use marlshelf::{Endpoint, EndpointState, GatewayId, Settings};
 
 fn started_at(name: &str, started_at_ms: f64) -> Endpoint {
     Endpoint {
@@ -42,7 +42,7 @@
     let mut to_new = 0u32;
     for id in 0..200u32 {
         let settings = Settings {
-            gateway: id,
+            gateway: GatewayId(id),
             ..fleet_settings(200)
         };
         let mut gateway = TestGateway::without_endpoints(settings, u64::from(id) + 1);
@@ -69,7 +69,7 @@
 /// 237 ms, above the 226 that a request may take here, but most endpoints can do more by then.
 fn uses_endpoint_while_it_warms_up(id: u32) -> bool {
     let settings = Settings {
-        gateway: id,
+        gateway: GatewayId(id),
         initial_warmth: 0.16,
         warmup_ms: 16_000.0,
         ..fleet_settings(100)
--- a/tests/decisions/support/actions.rs
+++ b/tests/decisions/support/actions.rs
@@ -1,6 +1,6 @@
 //! Questions that tests ask of the actions an engine returned.
 
-use marlshelf::Action;
+use marlshelf::{Action, TimerToken};
 
 /// The token of the timer that every engine sets for its gossip outbox. All other tokens belong to requests.
 pub const GOSSIP_TIMER: u64 = 1;
@@ -75,7 +75,10 @@
 
 fn timer_of(action: &Action) -> Option<Timer> {
     match *action {
-        Action::SetTimer { token, delay_ms } => Some(Timer { token, delay_ms }),
+        Action::SetTimer {
+            token: TimerToken(token),
+            delay_ms,
+        } => Some(Timer { token, delay_ms }),
         _ => None,
     }
 }
--- a/tests/decisions/support/gateway.rs
+++ b/tests/decisions/support/gateway.rs
@@ -4,7 +4,7 @@
 use super::requests::{TestRequest, success};
 use marlshelf::{
     Action, AttemptOutcome, DecisionEngine, Endpoint, EndpointListKind, EndpointState, Event,
-    Settings,
+    GatewayId, RequestId, Settings, TimerToken,
 };
 
 /// The seed of engines in tests that hold for any seed.
@@ -84,16 +84,32 @@
     }
 
     pub fn disconnect_client(&mut self, now_ms: f64, request: u64) -> Vec<Action> {
-        self.handle(now_ms, Event::ClientDisconnected { request })
+        self.handle(
+            now_ms,
+            Event::ClientDisconnected {
+                request: RequestId(request),
+            },
+        )
     }
 
     pub fn fire_timer(&mut self, now_ms: f64, token: u64) -> Vec<Action> {
-        self.handle(now_ms, Event::TimerFired { token })
+        self.handle(
+            now_ms,
+            Event::TimerFired {
+                token: TimerToken(token),
+            },
+        )
     }
 
     pub fn receive_gossip(&mut self, now_ms: f64, from: u32, text: &str) -> Vec<Action> {
         let text = text.to_string();
-        self.handle(now_ms, Event::GossipReceived { from, text })
+        self.handle(
+            now_ms,
+            Event::GossipReceived {
+                from: GatewayId(from),
+                text,
+            },
+        )
     }
 
     /// Receives a request and, if it is forwarded, answers it after a millisecond. Returns whether it was.
@@ -103,7 +119,7 @@
 
     /// Receives a request and, if it is forwarded, answers it after `latency_ms`. Returns the endpoint.
     pub fn serve_within(&mut self, latency_ms: f64, request: TestRequest) -> Option<String> {
-        let id = request.request.id;
+        let RequestId(id) = request.request.id;
         let answered_at_ms = request.received_at_ms + latency_ms;
         let endpoint = self.receive(request).forwarded_to()?;
         self.finish(answered_at_ms, success(id, &endpoint, latency_ms));
--- a/tests/decisions/support/gateway_pair.rs
+++ b/tests/decisions/support/gateway_pair.rs
@@ -4,7 +4,7 @@
 use super::gateway::TestGateway;
 use super::requests::{TestRequest, request, success};
 use super::settings::SMALL_QUOTA;
-use marlshelf::{Action, Event, Settings};
+use marlshelf::{Action, Event, GatewayId, RequestId, Settings, TimerToken};
 
 /// The most bytes that a gossip datagram may hold.
 const MAX_DATAGRAM_BYTES: usize = 256;
@@ -54,7 +54,7 @@
             })
         };
         GatewayPair {
-            gateways: [of_gateway(0), of_gateway(1)],
+            gateways: [of_gateway(GatewayId(0)), of_gateway(GatewayId(1))],
             partitioned: false,
         }
     }
@@ -67,11 +67,20 @@
             for action in self.gateways[gateway].handle(now_ms, event) {
                 match action {
                     Action::SendGossip { .. } if self.partitioned => {}
-                    Action::SendGossip { to, text } => {
+                    Action::SendGossip {
+                        to: GatewayId(to),
+                        text,
+                    } => {
                         assert!(text.len() <= MAX_DATAGRAM_BYTES, "too long: {text}");
                         assert_ne!(to as usize, gateway, "a gateway sends itself {text}");
                         let from = gateway as u32;
-                        pending.push((to as usize, Event::GossipReceived { from, text }));
+                        pending.push((
+                            to as usize,
+                            Event::GossipReceived {
+                                from: GatewayId(from),
+                                text,
+                            },
+                        ));
                     }
                     action => others.push(PairAction { gateway, action }),
                 }
@@ -85,7 +94,13 @@
     }
 
     pub fn fire_timer(&mut self, gateway: usize, now_ms: f64, token: u64) -> Vec<PairAction> {
-        self.handle(gateway, now_ms, Event::TimerFired { token })
+        self.handle(
+            gateway,
+            now_ms,
+            Event::TimerFired {
+                token: TimerToken(token),
+            },
+        )
     }
 
     /// Receives a request on the small quota and answers every attempt at once. Returns how many there were.
@@ -100,7 +115,9 @@
     /// If the action starts an attempt, the endpoint answers it.
     pub fn answer_at_once(&mut self, now_ms: f64, entry: &PairAction) {
         if let Action::Forward {
-            request, endpoint, ..
+            request: RequestId(request),
+            endpoint,
+            ..
         } = &entry.action
         {
             let answered = Event::AttemptFinished(success(*request, endpoint, 5.0));
--- a/tests/decisions/support/quota_fleet.rs
+++ b/tests/decisions/support/quota_fleet.rs
@@ -6,7 +6,8 @@
 use super::quota_ledger::{ForwardedValue, QuotaLedger, settlement};
 use super::requests::success;
 use marlshelf::{
-    Action, AttemptOutcome, EndpointName, Event, Plan, Request, RequestClass, Settings,
+    Action, AttemptOutcome, EndpointName, Event, GatewayId, Plan, Request, RequestClass, RequestId,
+    Settings, TimerToken,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -162,8 +163,13 @@
             GatewayEvent::RequestArrives(index) => {
                 Event::RequestReceived(self.request(now_ms, index))
             }
-            GatewayEvent::GossipArrives { from, text } => Event::GossipReceived { from, text },
-            GatewayEvent::TimerFires(token) => Event::TimerFired { token },
+            GatewayEvent::GossipArrives { from, text } => Event::GossipReceived {
+                from: GatewayId(from),
+                text,
+            },
+            GatewayEvent::TimerFires(token) => Event::TimerFired {
+                token: TimerToken(token),
+            },
             GatewayEvent::AttemptEnds {
                 request,
                 endpoint,
@@ -185,12 +191,12 @@
         let arrival = &self.workload.arrivals[index];
         let tenant = self.workload.tenant_of(arrival);
         Request {
-            id: index as u64,
+            id: RequestId(index as u64),
             tenant: format!("c{}", arrival.tenant).into(),
             class: 0,
             plan: tenant.plan,
             cost: arrival.estimated_cost,
-            shard_start: tenant.shard_start,
+            shard_start: GatewayId(tenant.shard_start),
             shard_size: tenant.shard_size,
             client_deadline_ms: now_ms + CLIENT_TIMEOUT_MS,
             is_retry: false,
@@ -200,15 +206,23 @@
     fn execute(&mut self, now_ms: f64, gateway: usize, action: Action) {
         match action {
             Action::Forward {
-                request, endpoint, ..
+                request: RequestId(request),
+                endpoint,
+                ..
             } => self.forward(now_ms, gateway, request, endpoint),
-            Action::SendGossip { to, text } if self.rng.random::<f64>() >= GOSSIP_LOSS => {
+            Action::SendGossip {
+                to: GatewayId(to),
+                text,
+            } if self.rng.random::<f64>() >= GOSSIP_LOSS => {
                 let delay_ms = self.rng.random_range(3.0..23.0);
                 let from = gateway as u32;
                 let event = GatewayEvent::GossipArrives { from, text };
                 self.schedule(now_ms + delay_ms, to as usize, event);
             }
-            Action::SetTimer { token, delay_ms } => {
+            Action::SetTimer {
+                token: TimerToken(token),
+                delay_ms,
+            } => {
                 let event = GatewayEvent::TimerFires(token);
                 self.schedule(now_ms + delay_ms, gateway, event);
             }
@@ -240,7 +254,7 @@
 
 fn start_gateway(seed: u64, settings: &Settings, gateway: u32) -> TestGateway {
     let settings = Settings {
-        gateway,
+        gateway: GatewayId(gateway),
         ..settings.clone()
     };
     let seed = seed.wrapping_mul(97) + u64::from(gateway);
--- a/tests/decisions/support/recorded_scenario.rs
+++ b/tests/decisions/support/recorded_scenario.rs
@@ -7,7 +7,10 @@
 use super::gateway::{TestGateway, default_endpoints};
 use super::recorded_gossip::{GOSSIP, OUTCOMES};
 use super::requests::{TestRequest, request, success};
-use marlshelf::{Action, AttemptOutcome, Event, Idempotency, Plan, RequestClass, Settings};
+use marlshelf::{
+    Action, AttemptOutcome, Event, GatewayId, Idempotency, Plan, RequestClass, RequestId, Settings,
+    TimerToken,
+};
 use std::ops::Range;
 
 pub const GATEWAYS: u32 = 3;
@@ -236,7 +239,14 @@
     fn deliver(&mut self, sent_at_ms: f64, from: u32, to: u32, text: String) {
         if !PARTITION_MS.contains(&sent_at_ms) {
             let arrives_at_ms = sent_at_ms + LINK_DELAY_MS;
-            self.schedule(arrives_at_ms, to, Event::GossipReceived { from, text });
+            self.schedule(
+                arrives_at_ms,
+                to,
+                Event::GossipReceived {
+                    from: GatewayId(from),
+                    text,
+                },
+            );
         }
     }
 
@@ -247,7 +257,9 @@
         };
         match action {
             Action::Forward {
-                request, endpoint, ..
+                request: RequestId(request),
+                endpoint,
+                ..
             } => {
                 log_outcome(format!("forward {request} {endpoint}"));
                 let outcome = AttemptOutcome {
@@ -258,11 +270,16 @@
                 self.schedule(now_ms + latency_ms(request), gateway, answered);
             }
             Action::Reject {
-                request,
+                request: RequestId(request),
                 retry_after_ms,
             } => log_outcome(format!("reject {request} {retry_after_ms}")),
-            Action::Fail { request } => log_outcome(format!("fail {request}")),
-            Action::SendGossip { to, text } => {
+            Action::Fail {
+                request: RequestId(request),
+            } => log_outcome(format!("fail {request}")),
+            Action::SendGossip {
+                to: GatewayId(to),
+                text,
+            } => {
                 self.log
                     .gossip
                     .push(format!("{now_ms} {gateway} {to} {text}"));
@@ -270,8 +287,17 @@
                     self.deliver(now_ms, gateway, to, text);
                 }
             }
-            Action::SetTimer { token, delay_ms } => {
-                self.schedule(now_ms + delay_ms, gateway, Event::TimerFired { token });
+            Action::SetTimer {
+                token: TimerToken(token),
+                delay_ms,
+            } => {
+                self.schedule(
+                    now_ms + delay_ms,
+                    gateway,
+                    Event::TimerFired {
+                        token: TimerToken(token),
+                    },
+                );
             }
         }
     }
@@ -280,7 +306,7 @@
 /// A gateway of the scenario, which has not received any request.
 pub fn start_gateway(gateway: u32) -> TestGateway {
     let settings = Settings {
-        gateway,
+        gateway: GatewayId(gateway),
         ..settings()
     };
     let seed = FIRST_SEED + u64::from(gateway);
--- a/tests/decisions/support/requests.rs
+++ b/tests/decisions/support/requests.rs
@@ -1,7 +1,7 @@
 //! Requests of clients, and outcomes of the attempts made for them.
 
 use super::settings::{AMPLE_QUOTA, IDEMPOTENT};
-use marlshelf::{AttemptOutcome, AttemptResult, Event, Request};
+use marlshelf::{AttemptOutcome, AttemptResult, Event, GatewayId, Request, RequestId};
 
 /// A request and the time at which a gateway receives it.
 #[derive(Clone)]
@@ -15,12 +15,12 @@
     TestRequest {
         received_at_ms,
         request: Request {
-            id,
+            id: RequestId(id),
             tenant: "acme".into(),
             class: IDEMPOTENT,
             plan: AMPLE_QUOTA,
             cost: 1.0,
-            shard_start: 0,
+            shard_start: GatewayId(0),
             shard_size: 2,
             client_deadline_ms: received_at_ms + 2000.0,
             is_retry: false,
@@ -63,7 +63,7 @@
 
     /// The tenant's shard is one gateway, which then owns its quota.
     pub fn owned_by(mut self, gateway: u32) -> Self {
-        self.request.shard_start = gateway;
+        self.request.shard_start = GatewayId(gateway);
         self.request.shard_size = 1;
         self
     }
@@ -86,7 +86,7 @@
     latency_ms: f64,
 ) -> AttemptOutcome {
     AttemptOutcome {
-        request,
+        request: RequestId(request),
         attempt: 0,
         endpoint: endpoint.into(),
         result,
--- a/tests/decisions/support/slow_start_fleet.rs
+++ b/tests/decisions/support/slow_start_fleet.rs
@@ -6,7 +6,8 @@
 use super::settings::slow_start_settings;
 use super::simulated_endpoint::{AttemptEnd, SimulatedEndpoint, WARMUP_MS};
 use marlshelf::{
-    Action, AttemptResult, Endpoint, EndpointListKind, EndpointName, EndpointState, Event, Settings,
+    Action, AttemptResult, Endpoint, EndpointListKind, EndpointName, EndpointState, Event,
+    GatewayId, RequestId, Settings, TimerToken,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -201,7 +202,9 @@
                 Some(EngineEvent { gateway, event })
             }
             FleetEvent::TimerFires { gateway, token } => {
-                let event = Event::TimerFired { token };
+                let event = Event::TimerFired {
+                    token: TimerToken(token),
+                };
                 Some(EngineEvent { gateway, event })
             }
             FleetEvent::EndpointStops { index } => {
@@ -303,11 +306,14 @@
     fn execute(&mut self, now_ms: f64, gateway: usize, action: Action) {
         match action {
             Action::Forward {
-                request,
+                request: RequestId(request),
                 endpoint,
                 deadline_ms,
             } => self.forward(now_ms, request, &endpoint, deadline_ms),
-            Action::SetTimer { token, delay_ms } => {
+            Action::SetTimer {
+                token: TimerToken(token),
+                delay_ms,
+            } => {
                 let event = FleetEvent::TimerFires { gateway, token };
                 self.queue.insert(now_ms + delay_ms, event);
             }
@@ -355,7 +361,7 @@
 fn start_gateways(size: FleetSize, seed: u64, endpoints: &[SimulatedEndpoint]) -> Vec<TestGateway> {
     let start = |gateway: u32| {
         let settings = Settings {
-            gateway,
+            gateway: GatewayId(gateway),
             ..slow_start_settings(size.gateways)
         };
         let seed = seed.wrapping_mul(977) + u64::from(gateway);
--- a/tests/gateway/clients.rs
+++ b/tests/gateway/clients.rs
@@ -40,7 +40,7 @@
 
 impl ClientEventHandler for StubHandler {
     fn next_id(&self) -> RequestId {
-        self.last_id.set(self.last_id.get() + 1);
+        self.last_id.set(RequestId(self.last_id.get().0 + 1));
         self.last_id.get()
     }
 
--- a/tests/gateway/gossip_socket.rs
+++ b/tests/gateway/gossip_socket.rs
@@ -1,6 +1,7 @@
 //! Which datagrams the gossip socket passes on.
 
 use crate::support::*;
+use marlshelf::GatewayId;
 use marlshelf::gateway::gossip_socket::{GossipHandler, GossipSocket, MAX_DATAGRAM_BYTES};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,10 +10,10 @@
 use tokio::time::timeout;
 
 /// Records what is received.
-struct Recorder(mpsc::UnboundedSender<(u32, String)>);
+struct Recorder(mpsc::UnboundedSender<(GatewayId, String)>);
 
 impl GossipHandler for Recorder {
-    fn handle_gossip(&self, from: u32, text: &str) {
+    fn handle_gossip(&self, from: GatewayId, text: &str) {
         let _ = self.0.send((from, text.to_owned()));
     }
 }
@@ -33,11 +34,15 @@
         let (stranger, _) = bind_any().await;
         let gossip = GossipSocket::new(own, vec![own_address, peer_address]);
         let (sender, mut received) = mpsc::unbounded_channel();
-        tokio::task::spawn_local(gossip.clone().listen(Rc::new(Recorder(sender)), 0));
+        tokio::task::spawn_local(
+            gossip
+                .clone()
+                .listen(Rc::new(Recorder(sender)), GatewayId(0)),
+        );
 
         let longest = "x".repeat(MAX_DATAGRAM_BYTES);
         let too_long = "x".repeat(MAX_DATAGRAM_BYTES + 1);
-        gossip.send(0, "from the gateway itself");
+        gossip.send(GatewayId(0), "from the gateway itself");
         for (socket, datagram) in [
             (&stranger, b"from an unknown address".as_slice()),
             (&peer, too_long.as_bytes()),
@@ -53,7 +58,10 @@
 
         for expected in [longest.as_str(), "last"] {
             let gossip = timeout(TEST_TIMEOUT, received.recv()).await;
-            assert_eq!(gossip.expect("in time"), Some((1, expected.to_owned())));
+            assert_eq!(
+                gossip.expect("in time"),
+                Some((GatewayId(1), expected.to_owned()))
+            );
         }
     });
 }
@@ -64,9 +72,9 @@
         let (own, own_address) = bind_any().await;
         let (peer, peer_address) = bind_any().await;
         let gossip = GossipSocket::new(own, vec![own_address, peer_address]);
-        gossip.send(1, &"x".repeat(MAX_DATAGRAM_BYTES + 1));
-        gossip.send(2, "to nobody");
-        gossip.send(1, "first that is sent");
+        gossip.send(GatewayId(1), &"x".repeat(MAX_DATAGRAM_BYTES + 1));
+        gossip.send(GatewayId(2), "to nobody");
+        gossip.send(GatewayId(1), "first that is sent");
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         let (length, from) = timeout(TEST_TIMEOUT, peer.recv_from(&mut buffer))
             .await
--- a/tests/settings/samples.rs
+++ b/tests/settings/samples.rs
@@ -1,6 +1,8 @@
 //! Serialized settings in both of their forms, and the values that they stand for.
 
-use marlshelf::{DeduplicationScope, Idempotency, Plan, RequestClass, Settings, SettingsDocument};
+use marlshelf::{
+    DeduplicationScope, GatewayId, Idempotency, Plan, RequestClass, Settings, SettingsDocument,
+};
 use serde_json::{Value, json};
 
 /// Settings with every key that the users' pages name, each with a value of its own, and with unknown keys at every
@@ -126,7 +128,7 @@
 /// What [`COMPLETE_SETTINGS`] must be read as.
 pub fn complete_settings() -> Settings {
     Settings {
-        gateway: 6,
+        gateway: GatewayId(6),
         gateway_count: 7,
         zone: 2,
         classes: complete_classes(),
--- a/tests/settings/validation.rs
+++ b/tests/settings/validation.rs
@@ -1,7 +1,9 @@
 //! Which settings are rejected, and with which error.
 
 use crate::samples::{COMPLETE_SETTINGS, complete_settings, parse};
-use marlshelf::{DecisionEngine, Settings, SettingsDocument, SettingsError, SettingsSection};
+use marlshelf::{
+    DecisionEngine, GatewayId, Settings, SettingsDocument, SettingsError, SettingsSection,
+};
 use serde_json::json;
 
 /// A change of valid settings.
@@ -262,7 +264,7 @@
             settings.max_attempts = 0;
         }),
         ("a gateway beyond the fleet", |settings| {
-            settings.gateway = 99;
+            settings.gateway = GatewayId(99);
         }),
         ("a negative greatest cost", |settings| {
             settings.max_request_cost = -1.0;
