--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -246,7 +246,7 @@
     }
 
     /// Rejects a request. Where the tokens that it needs will not be there within its latency objective, as
-    /// far as is known here, the client is told when they will; for less, its own backoff serves better.
+    /// far as is known here, the client gets a Retry-After; for less, its own backoff serves better.
     pub(super) fn reject(&mut self, request: &Request) {
         let class = self.settings.classes.get(request.class);
         let objective_ms = class.map_or(0.0, |class| class.latency_objective_ms);
--- a/src/decisions/attempts.rs
+++ b/src/decisions/attempts.rs
@@ -62,7 +62,7 @@
             // An error is an answer: the endpoint had capacity for the request.
             let accepted = outcome.result == AttemptResult::Error && in_time;
             self.load_shedder.record(tier, accepted, self.now_ms);
-            self.give_up(&request);
+            self.answer_failed_request(&request);
         }
     }
 
@@ -103,7 +103,7 @@
     }
 
     /// The final answer to a request whose attempts have failed.
-    fn give_up(&mut self, request: &InFlightRequest) {
+    fn answer_failed_request(&mut self, request: &InFlightRequest) {
         let admitted = &request.admitted.request;
         let class = &self.settings.classes[admitted.class];
         if request.first_execution.is_none() || client_may_repeat(class) {
--- a/src/decisions/quota_client.rs
+++ b/src/decisions/quota_client.rs
@@ -35,7 +35,7 @@
         return None;
     }
     ledger.spend_poll_credit();
-    // The request stands for those that were rejected unasked.
+    // The request stands for those that were rejected without asking the owner.
     ledger.add_unreported_demand(cost / poll_probability);
     let expired = if fresh { 0.0 } else { ledger.take_all_prefetched() };
     let may_prefetch = !needs_permit && !terms.owner_is_local;
--- a/src/gateway/clients/connection.rs
+++ b/src/gateway/clients/connection.rs
@@ -224,7 +224,7 @@
         is_due && !self.socket.has_unread_input()
     }
 
-    /// Whether the client is to be told that no whole command came in time.
+    /// Whether the client is to be notified that no complete command arrived in time.
     pub(super) fn has_timed_out(&self) -> bool {
         self.input.get() == InputState::TimedOut
             && self.is_idle()
--- a/src/records/owner_ledger.rs
+++ b/src/records/owner_ledger.rs
@@ -60,7 +60,7 @@
         self.updated_at_ms
     }
 
-    /// What clients are told with each response.
+    /// The state that goes with each response.
     pub(crate) fn state(&self) -> OwnerState {
         let (demand, granted) = (self.demand.last_value(), self.granted.last_value());
         OwnerState {
--- a/src/records/unconfirmed_usage.rs
+++ b/src/records/unconfirmed_usage.rs
@@ -4,7 +4,7 @@
 use crate::gossip::{GossipMessage, QuotaRequestId, TenantKey};
 use std::collections::BTreeMap;
 
-/// For each tenant the usage that its owner has not been told of.
+/// For each tenant the usage that its owner has not been notified of.
 #[derive(Default)]
 pub(crate) struct UnconfirmedUsage {
     by_tenant: BTreeMap<TenantKey, Usage>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -37,7 +37,7 @@
     Cell,
 }
 
-/// A class of requests: what its answers are worth, and whether its requests may be retried.
+/// A class of requests: how much its answers count, and whether its requests may be retried.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct RequestClass {
     /// The value of an answer in time, before the weight of the tenant's plan is applied. No unit; values are only
