--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -46,6 +46,7 @@
 const INTAKE_BURST_SECONDS: f64 = 0.1;
 const LARGE_FLEET_INTAKE_MULTIPLE: f64 = 4.0;
 const DATAGRAM_BYTES: usize = 256;
+const GOSSIP_TIMER_RESOLUTION_MS: f64 = 1.0;
 /// Tenants idle for this long are forgotten: by then every bucket is full again.
 const TENANT_IDLE_MS: f64 = 60_000.0;
 /// The bits of the seed from which quota requests are numbered.
@@ -74,7 +75,12 @@
     let multiple = 1.0 + (LARGE_FLEET_INTAKE_MULTIPLE - 1.0) * fleet_scale(settings);
     let datagrams_per_second = INTAKE_FRACTION * settings.gossip_intake_per_second.max(1.0) * multiple;
     let burst = (INTAKE_BURST_SECONDS * datagrams_per_second).max(1.0);
-    OutboxLimits { datagrams_per_second, burst, datagram_bytes: DATAGRAM_BYTES }
+    OutboxLimits {
+        datagrams_per_second,
+        burst,
+        datagram_bytes: DATAGRAM_BYTES,
+        timer_resolution_ms: GOSSIP_TIMER_RESOLUTION_MS,
+    }
 }
 
 impl Decisions {
--- a/src/records/gossip_outbox.rs
+++ b/src/records/gossip_outbox.rs
@@ -3,11 +3,6 @@
 use crate::events::GatewayId;
 use std::collections::BTreeMap;
 
-/// A timer that is set already is not moved for less than this.
-const TIMER_SLACK_MS: f64 = 1.0;
-/// The shortest delay of the timer.
-const MIN_TIMER_MS: f64 = 1.0;
-
 /// What a gateway may send.
 #[derive(Clone, Copy)]
 pub(crate) struct OutboxLimits {
@@ -15,6 +10,8 @@
     /// Datagrams that may go at one stroke.
     pub burst: f64,
     pub datagram_bytes: usize,
+    /// The shortest delay of the timer, and the least by which a timer that is set is moved.
+    pub timer_resolution_ms: f64,
 }
 
 /// A datagram that is ready to be sent.
@@ -102,13 +99,14 @@
 
     /// The delay of the timer that has to be set for what waits, if none is set that comes as early.
     pub(crate) fn next_timer_ms(&mut self, now_ms: f64) -> Option<f64> {
+        let resolution_ms = self.limits.timer_resolution_ms;
         let due_in = self.batches.values().map(|batch| batch.due_at_ms - now_ms);
         let first_due_ms = due_in.fold(f64::INFINITY, f64::min);
         let allowed_in_ms = 1000.0 * (1.0 - self.allowance) / self.limits.datagrams_per_second;
-        let delay_ms = first_due_ms.max(allowed_in_ms).max(MIN_TIMER_MS);
+        let delay_ms = first_due_ms.max(allowed_in_ms).max(resolution_ms);
         let is_earlier = self
             .timer_at_ms
-            .is_none_or(|at_ms| now_ms + delay_ms + TIMER_SLACK_MS < at_ms);
+            .is_none_or(|at_ms| now_ms + delay_ms + resolution_ms < at_ms);
         if !first_due_ms.is_finite() || !is_earlier {
             return None;
         }
