Extend the simulated fleets until nearly all constants show in the digest

Each constant and numeric literal of src/control.rs and src/state.rs was moved in a scratch copy, one at a time: floats by 5% up, whole numbers by one up, and where no digest changed, down.

--- a/examples/decision_digest/clients.rs
+++ b/examples/decision_digest/clients.rs
@@ -99,7 +99,9 @@
         }
         let gateway = self.gateway(tenant, now, rng);
         let idle = match self.traffic.idle {
-            Some((from, to)) => tenant >= NEVER_IDLE && (from..to).contains(&now),
+            Some((from, to, step)) => {
+                tenant >= NEVER_IDLE && (from..to + step * tenant as f64).contains(&now)
+            }
             None => false,
         };
         (!idle).then_some(Call {
--- a/examples/decision_digest/endpoint.rs
+++ b/examples/decision_digest/endpoint.rs
@@ -32,16 +32,33 @@
     pub cells: u32,
     /// Endpoint `k` is of kind `k % kinds`; each kind is slower than the one before.
     pub kinds: u32,
+    /// Whether endpoints are listed with a size that is zero, negative, tiny or not a number.
+    pub odd_sizes: bool,
     /// Requests that one endpoint serves at a time.
     pub cores: usize,
     /// Requests that may wait at one endpoint.
     pub queue: usize,
     /// The mean time one request takes on a core of the first kind, in milliseconds.
     pub work: f64,
+    /// The time that the network takes from an endpoint back to a gateway.
+    pub network: f64,
     /// The share of answers that carry a load report.
     pub reports: f64,
 }
 
+impl EndpointPool {
+    /// The size that the list gives for an endpoint.
+    fn size(&self, number: u32) -> f64 {
+        match number % 5 {
+            0 if self.odd_sizes => 0.0,
+            1 if self.odd_sizes => f64::NAN,
+            2 if self.odd_sizes => -1.0,
+            3 if self.odd_sizes => 0.002,
+            _ => 1.0 + 0.5 * f64::from(number % 3),
+        }
+    }
+}
+
 /// One endpoint.
 pub struct Endpoint {
     /// Its line in the endpoint list.
@@ -69,7 +86,7 @@
                 zone: number % pool.zones,
                 cell: number % pool.cells,
                 kind,
-                size: 1.0 + 0.5 * f64::from(number % 3),
+                size: pool.size(number),
                 health: Health::Up,
                 since,
             },
--- a/examples/decision_digest/fleet.rs
+++ b/examples/decision_digest/fleet.rs
@@ -17,8 +17,8 @@
 const RESTART_TIME: f64 = 1000.0;
 /// The time an endpoint drains before it is gone.
 const DRAIN_TIME: f64 = 3000.0;
-/// The time that the network takes from an endpoint back to a gateway.
-const RETURN_TIME: f64 = 0.5;
+/// How often a note arrives that comes under the numbers of other gateways.
+const FORGED_COPIES: u32 = 6;
 
 /// Something that is due at a time.
 enum Due {
@@ -194,7 +194,8 @@
             Action::Tell { to, text } => self.tell_note(gateway, to, text),
             Action::SetTimer { token, after } => {
                 let life = self.gateways[gateway].life;
-                self.put(self.now + after, Due::Timer(gateway, life, token));
+                let early = self.scenario.early_timers * self.rng.random::<f64>();
+                self.put(self.now + after - early, Due::Timer(gateway, life, token));
             }
             Action::Probe { .. } | Action::Log { .. } => {}
         }
@@ -219,7 +220,7 @@
         let give_up = self.now + aim * self.rng.random_range(0.8..2.5);
         let early = self.rng.random::<f64>() < self.scenario.traffic.departures;
         let leaves = if early {
-            self.now + self.rng.random_range(0.0..0.5 * aim)
+            self.now + self.rng.random_range(0.0..1.5 * aim)
         } else {
             give_up + 5.0
         };
@@ -315,7 +316,7 @@
         let (at, ending) = if at > not_past {
             (not_past, Ending::Timeout)
         } else {
-            (at + RETURN_TIME, ending)
+            (at + self.scenario.endpoints.network, ending)
         };
         let (at, ending) = self.host_ending(at).unwrap_or((at, ending));
         self.put(at, Due::AttemptEnd(id, number, ending));
@@ -359,7 +360,7 @@
             ending,
             latency: self.now - attempt.sent,
             last,
-            metered: None,
+            metered: reported.then_some(factor),
             units: true_units.then_some((units * factor * 10.0).round() / 10.0),
             report: reported.then(|| endpoint.report(self.now)),
         };
@@ -384,11 +385,26 @@
         if self.rng.random::<f64>() < gossip.damaged {
             text = self.damage(text);
         }
-        self.put(self.now + delay, Due::Note(to as usize, from as u32, text));
+        let at = self.now + delay;
+        if self.rng.random::<f64>() < gossip.misattributed {
+            for _ in 0..FORGED_COPIES {
+                let sender = self.rng.random_range(0..self.scenario.settings.gateways);
+                self.put(at, Due::Note(to as usize, sender, text.clone()));
+            }
+        } else {
+            self.put(at, Due::Note(to as usize, from as u32, text));
+        }
     }
 
-    /// A note with one character changed, or cut short.
+    /// A note with one character changed, cut short, or about a plan that does not exist.
     fn damage(&mut self, text: String) -> String {
+        if self.rng.random_range(0..4) == 0 {
+            let mut fields: Vec<String> = text.split(',').map(String::from).collect();
+            if let Some(plan) = fields.get_mut(2) {
+                *plan = self.scenario.settings.plans.len().to_string();
+            }
+            return fields.join(",");
+        }
         let at = self.rng.random_range(0..text.len().max(1));
         let mut bytes = text.into_bytes();
         if self.rng.random() {
@@ -451,6 +467,17 @@
             Incident::Fault(index, fault) => self.endpoints[index].fault = fault,
             Incident::RestartGateway(index) => self.restart_gateway(index),
             Incident::Snapshot => self.tell_snapshot(),
+            Incident::Probe(index) => self.probe(index),
+        }
+    }
+
+    /// All gateways hear what a probe of an endpoint found.
+    fn probe(&mut self, index: usize) {
+        let endpoint = &mut self.endpoints[index];
+        let (server, report) = (endpoint.line.name.clone(), Some(endpoint.report(self.now)));
+        for gateway in 0..self.gateways.len() {
+            let (server, ok) = (server.clone(), gateway % 2 == 0);
+            self.event(gateway, Event::Probed { server, ok, report });
         }
     }
 
--- a/examples/decision_digest/scenario.rs
+++ b/examples/decision_digest/scenario.rs
@@ -14,6 +14,8 @@
     pub partition: Option<(f64, f64)>,
     /// The share of notes that arrive damaged.
     pub damaged: f64,
+    /// The share of notes that arrive several times, under the numbers of other gateways.
+    pub misattributed: f64,
 }
 
 /// What the clients do.
@@ -25,8 +27,9 @@
     pub rate: f64,
     /// From when to when the rate is multiplied by the third figure.
     pub surge: Option<(f64, f64, f64)>,
-    /// From when to when all tenants but the first few send nothing.
-    pub idle: Option<(f64, f64)>,
+    /// From when to when all tenants but the first few send nothing; the third figure is the
+    /// time from the return of one tenant to that of the next.
+    pub idle: Option<(f64, f64, f64)>,
     /// The numbers of gateways that tenants use, taken in turn; 0 means all.
     pub spreads: Vec<u32>,
     /// The share of requests that come in at a gateway that changes every few seconds.
@@ -60,6 +63,8 @@
     RestartGateway(usize),
     /// All gateways hear the whole endpoint list.
     Snapshot,
+    /// All gateways hear what a probe of an endpoint found.
+    Probe(usize),
 }
 
 /// One scenario.
@@ -77,6 +82,8 @@
     pub endpoints: EndpointPool,
     /// The network between gateways.
     pub gossip: Gossip,
+    /// Timers fire up to this much too early.
+    pub early_timers: f64,
     /// The clients.
     pub traffic: Traffic,
     /// What happens when.
@@ -128,9 +135,42 @@
         open(2, plan(0.0, 0.0, 0.4, 0.3)),
         plan(0.0, 0.0, 0.5, 0.0),
         ceiling(open(3, plan(12.0, 15.0, 1.1, 1.2)), 15.0, 20.0, 3.0),
+        open(1, plan(0.0, 0.0, 0.8, 0.5)),
+        plan(8.0, 12.0, 0.6, 1.5),
     ]
 }
 
+fn endpoints() -> EndpointPool {
+    EndpointPool {
+        count: 12,
+        zones: 2,
+        cells: 4,
+        kinds: 2,
+        odd_sizes: false,
+        cores: 4,
+        queue: 8,
+        work: 40.0,
+        network: 0.5,
+        reports: 0.5,
+    }
+}
+
+fn traffic() -> Traffic {
+    Traffic {
+        tenants: 33,
+        rate: 300.0,
+        surge: None,
+        idle: None,
+        spreads: vec![0, 2, 1],
+        sticky: 0.5,
+        departures: 0.03,
+        retries: 0.5,
+        true_units: 0.3,
+        invalid: 0.002,
+        host_endings: 0.003,
+    }
+}
+
 /// A scenario of so many gateways without faults, for others to start from.
 fn base(name: &'static str, gateways: u32, scale: f64) -> Scenario {
     Scenario {
@@ -150,35 +190,16 @@
             ..Settings::default()
         },
         gateway_zones: 2,
-        endpoints: EndpointPool {
-            count: 12,
-            zones: 2,
-            cells: 4,
-            kinds: 2,
-            cores: 4,
-            queue: 8,
-            work: 40.0,
-            reports: 0.5,
-        },
+        endpoints: endpoints(),
         gossip: Gossip {
             loss: 0.02,
             delay: (2.0, 20.0),
             partition: None,
             damaged: 0.0,
+            misattributed: 0.0,
         },
-        traffic: Traffic {
-            tenants: 27,
-            rate: 300.0,
-            surge: None,
-            idle: None,
-            spreads: vec![0, 2, 1],
-            sticky: 0.5,
-            departures: 0.03,
-            retries: 0.5,
-            true_units: 0.3,
-            invalid: 0.002,
-            host_endings: 0.003,
-        },
+        early_timers: 0.0,
+        traffic: traffic(),
         incidents: Vec::new(),
         duration: 15_000.0,
     }
@@ -213,6 +234,7 @@
         (5000.0, Incident::Fault(8, Fault::Full)),
         (6000.0, Incident::Restart(9)),
         (7000.0, Incident::Snapshot),
+        (7200.0, Incident::Probe(2)),
         (7500.0, Incident::Fault(0, Fault::None)),
         (8000.0, Incident::Slow(1, 1.0)),
         (8500.0, Incident::Fault(2, Fault::None)),
@@ -232,7 +254,7 @@
 fn three_idle() -> Scenario {
     let mut scenario = base("three-idle-tenants", 3, 1.0);
     scenario.traffic.rate = 60.0;
-    scenario.traffic.idle = Some((6000.0, 78_000.0));
+    scenario.traffic.idle = Some((6000.0, 62_000.0, 400.0));
     scenario.duration = 90_000.0;
     scenario
 }
@@ -245,6 +267,92 @@
     scenario
 }
 
+/// Two gateways and one endpoint, without further attempts.
+fn two_gateways() -> Scenario {
+    let mut scenario = base("two-gateways", 2, 1.0);
+    scenario.settings.max_attempts = 1;
+    scenario.endpoints.count = 1;
+    scenario.endpoints.cores = 16;
+    scenario.traffic.rate = 150.0;
+    scenario.incidents = vec![
+        (5000.0, Incident::Fault(0, Fault::Errors(0.3))),
+        (8000.0, Incident::Fault(0, Fault::None)),
+        (9000.0, Incident::Restart(0)),
+    ];
+    scenario
+}
+
+/// One gateway before two endpoints.
+fn one_gateway() -> Scenario {
+    let mut scenario = base("one-gateway", 1, 2.0);
+    scenario.endpoints.count = 2;
+    scenario.endpoints.cores = 16;
+    scenario.endpoints.odd_sizes = true;
+    scenario.traffic.rate = 200.0;
+    scenario.incidents = vec![(5000.0, Incident::Restart(0))];
+    scenario
+}
+
+/// Endpoints without a usable size, and peers that take in next to no notes.
+fn three_odd() -> Scenario {
+    let mut scenario = base("three-odd", 3, 1.0);
+    scenario.settings.note_intake = 0.0;
+    scenario.endpoints.odd_sizes = true;
+    scenario.incidents = vec![(5000.0, Incident::Restart(3))];
+    scenario
+}
+
+fn three_early_timers() -> Scenario {
+    let mut scenario = base("three-early-timers", 3, 1.0);
+    scenario.seeds = vec![1, 2, 3, 4];
+    scenario.early_timers = 0.12;
+    scenario.gossip.loss = 0.2;
+    for class in &mut scenario.settings.classes {
+        class.late_worth = 0.5;
+    }
+    scenario.incidents = (0..4)
+        .map(|index| (2000.0, Incident::Fault(index * 3, Fault::Silent)))
+        .collect();
+    scenario
+}
+
+/// Half of all requests fail, more than further attempts are allowed for.
+fn three_errors() -> Scenario {
+    let mut scenario = base("three-errors", 3, 3.0);
+    scenario.incidents = (0..12)
+        .map(|index| (1000.0, Incident::Fault(index, Fault::Errors(0.5))))
+        .collect();
+    scenario
+}
+
+/// Answers within a tenth of a millisecond, and tenants that share few permits.
+fn three_fast() -> Scenario {
+    let mut scenario = base("three-fast", 3, 1.0);
+    let plans = plans(1.0);
+    scenario.settings.plans = vec![plans[9].clone(), plans[6].clone()];
+    scenario.endpoints.work = 0.04;
+    scenario.endpoints.network = 0.02;
+    scenario.traffic.tenants = 2;
+    scenario.traffic.spreads = vec![0];
+    scenario.traffic.rate = 5000.0;
+    scenario.traffic.retries = 0.0;
+    scenario.duration = 5000.0;
+    scenario
+}
+
+/// Requests that take about a minute.
+fn three_long_requests() -> Scenario {
+    let mut scenario = base("three-long-requests", 3, 1.0);
+    for class in &mut scenario.settings.classes {
+        class.aim = 200_000.0;
+        class.late_worth = 0.5;
+    }
+    scenario.endpoints.work = 40_000.0;
+    scenario.traffic.rate = 0.5;
+    scenario.duration = 900_000.0;
+    scenario
+}
+
 fn twenty(name: &'static str) -> Scenario {
     let mut scenario = base(name, 20, 4.0);
     scenario.endpoints.count = 30;
@@ -253,8 +361,8 @@
     scenario.endpoints.kinds = 3;
     scenario.gateway_zones = 3;
     scenario.traffic.rate = 1000.0;
-    scenario.traffic.tenants = 45;
-    scenario.traffic.spreads = vec![0, 10, 5, 1];
+    scenario.traffic.tenants = 55;
+    scenario.traffic.spreads = vec![0, 10, 5, 1, 1000];
     scenario
 }
 
@@ -287,6 +395,51 @@
     scenario
 }
 
+/// Most endpoints restart in a row, so that nearly all are cold at once.
+fn twenty_mass_restart() -> Scenario {
+    let mut scenario = twenty("twenty-mass-restart");
+    scenario.endpoints.count = 33;
+    scenario.settings.fall_multiple = 0.0;
+    scenario.incidents = (0..30)
+        .map(|index| {
+            (
+                3000.0 + 100.0 * f64::from(index),
+                Incident::Restart(index as usize * 7 % 33),
+            )
+        })
+        .collect();
+    scenario
+}
+
+/// Peers that take in few notes.
+fn twenty_low_intake() -> Scenario {
+    let mut scenario = twenty("twenty-low-intake");
+    scenario.settings.note_intake = 0.5;
+    scenario
+}
+
+/// Peers that take in hardly as many notes as there are.
+fn twenty_tight_intake() -> Scenario {
+    let mut scenario = twenty("twenty-tight-intake");
+    scenario.seeds = vec![4, 5];
+    scenario.settings.note_intake = 50.0;
+    scenario
+}
+
+/// Notes that arrive damaged, or several times under wrong numbers, and endpoints that never answer.
+fn twenty_forged_notes() -> Scenario {
+    let mut scenario = twenty("twenty-forged-notes");
+    scenario.gossip.damaged = 0.1;
+    scenario.gossip.misattributed = 0.3;
+    scenario.incidents = (0..8)
+        .map(|index| (2000.0, Incident::Fault(index * 3, Fault::Silent)))
+        .collect();
+    scenario
+        .incidents
+        .push((5000.0, Incident::RestartGateway(3)));
+    scenario
+}
+
 fn hundreds(name: &'static str) -> Scenario {
     let mut scenario = base(name, 300, 6.0);
     scenario.seeds = vec![1];
@@ -296,7 +449,7 @@
     scenario.endpoints.kinds = 3;
     scenario.gateway_zones = 3;
     scenario.traffic.rate = 1500.0;
-    scenario.traffic.tenants = 90;
+    scenario.traffic.tenants = 99;
     scenario.traffic.spreads = vec![0, 150, 20, 3];
     scenario
 }
@@ -321,15 +474,26 @@
 /// All scenarios, in the order of the output.
 pub fn all() -> Vec<Scenario> {
     vec![
+        one_gateway(),
+        two_gateways(),
         three_steady(),
         three_faults(),
         three_overload(),
         three_idle(),
         three_without_notes(),
+        three_odd(),
+        three_early_timers(),
+        three_errors(),
+        three_fast(),
+        three_long_requests(),
         twenty("twenty-steady"),
         twenty_faults(),
         twenty_overload(),
         twenty_without_notes(),
+        twenty_mass_restart(),
+        twenty_low_intake(),
+        twenty_tight_intake(),
+        twenty_forged_notes(),
         hundreds("hundreds-steady"),
         hundreds_faults(),
         hundreds_overload(),
