--- a/examples/decision_digest/digest.rs
+++ b/examples/decision_digest/digest.rs
@@ -5,10 +5,12 @@
 
 use marlshelf::{Action, GatewayId, RequestId, TimerToken};
 
+/// The initial value of FNV-1a.
 const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+/// The multiplier of FNV-1a.
 const PRIME: u64 = 0x0000_0100_0000_01b3;
 
-/// The running hash of the actions seen so far, and their number.
+/// The hash of all actions recorded so far, and their number.
 pub struct ActionDigest {
     hash: u64,
     actions: u64,
@@ -33,29 +35,29 @@
         self.actions
     }
 
-    /// Adds one action that a gateway took at a time.
-    pub fn record(&mut self, gateway: usize, now: f64, action: &Action) {
+    /// Records one action of a gateway.
+    pub fn record(&mut self, gateway: usize, now_ms: f64, action: &Action) {
         self.actions += 1;
         self.integer(gateway as u64);
-        self.float(now);
+        self.float(now_ms);
         match action {
             Action::Forward {
                 request: RequestId(id),
-                endpoint: server,
-                deadline_ms: not_past,
+                endpoint,
+                deadline_ms,
             } => {
                 self.tag(1);
                 self.integer(*id);
-                self.text(server);
-                self.float(*not_past);
+                self.text(endpoint);
+                self.float(*deadline_ms);
             }
             Action::Reject {
                 request: RequestId(id),
-                retry_after_ms: pause,
+                retry_after_ms,
             } => {
                 self.tag(2);
                 self.integer(*id);
-                self.float(*pause);
+                self.float(*retry_after_ms);
             }
             Action::Fail {
                 request: RequestId(id),
@@ -73,11 +75,11 @@
             }
             Action::SetTimer {
                 token: TimerToken(token),
-                delay_ms: after,
+                delay_ms,
             } => {
                 self.tag(7);
                 self.integer(*token);
-                self.float(*after);
+                self.float(*delay_ms);
             }
         }
     }
@@ -100,7 +102,8 @@
         self.integer(value.to_bits());
     }
 
-    /// The length goes first, so that two texts in a row cannot be confused with two others.
+    /// Hashes the length first, so that two consecutive texts cannot collide with a different split of
+    /// the same characters.
     fn text(&mut self, text: &str) {
         self.integer(text.len() as u64);
         self.bytes(text.as_bytes());
--- a/examples/decision_digest/endpoint.rs
+++ b/examples/decision_digest/endpoint.rs
@@ -7,15 +7,15 @@
 /// How an endpoint misbehaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
-    /// It works.
+    /// It works correctly.
     None,
-    /// It answers this share of requests with an error, at once.
+    /// It answers this share of requests with an immediate error.
     Errors(f64),
-    /// It turns every request away.
-    Full,
+    /// It rejects every request because of overload.
+    Overloaded,
     /// It accepts no connections.
     Unreachable,
-    /// It breaks this share of connections after a short time.
+    /// It resets this share of connections after a short time.
     Resets(f64),
     /// It accepts requests and never answers.
     Silent,
@@ -24,157 +24,188 @@
 /// The endpoints of a scenario.
 #[derive(Clone, Debug)]
 pub struct EndpointPool {
-    /// How many there are at the start.
+    /// The number of endpoints at the start.
     pub count: usize,
-    /// `SimulatedEndpoint` `k` stands in zone `k % zones`.
+    /// Endpoint `k` runs in zone `k % zones`.
     pub zones: u32,
-    /// `SimulatedEndpoint` `k` stands in cell `k % cells`.
+    /// Endpoint `k` runs in cell `k % cells`.
     pub cells: u32,
-    /// `SimulatedEndpoint` `k` is of kind `k % kinds`; each kind is slower than the one before.
-    pub kinds: u32,
-    /// Whether endpoints are listed with a size that is zero, negative, tiny or not a number.
-    pub odd_sizes: bool,
-    /// Requests that one endpoint serves at a time.
+    /// Endpoint `k` is of hardware kind `k % hardware_kinds`; each kind is slower than the one before.
+    pub hardware_kinds: u32,
+    /// Whether the list has weights that are zero, negative, tiny or not a number.
+    pub has_invalid_weights: bool,
+    /// The number of requests that one endpoint processes at a time.
     pub cores: usize,
-    /// Requests that may wait at one endpoint.
-    pub queue: usize,
-    /// The mean time one request takes on a core of the first kind, in milliseconds.
-    pub work: f64,
-    /// The time that the network takes from an endpoint back to a gateway.
-    pub network: f64,
-    /// The share of answers that carry a load report.
-    pub reports: f64,
+    /// The number of requests that may wait at one endpoint.
+    pub queue_capacity: usize,
+    /// The mean service time of a request on a core of the first hardware kind, in milliseconds.
+    pub service_time_ms: f64,
+    /// The network delay of a response, in milliseconds.
+    pub network_delay_ms: f64,
+    /// The share of responses that carry a load report.
+    pub load_report_ratio: f64,
 }
 
 impl EndpointPool {
-    /// The size that the list gives for an endpoint.
-    fn size(&self, number: u32) -> f64 {
+    /// The weight that the endpoint list states for an endpoint.
+    fn weight(&self, number: u32) -> f64 {
         match number % 5 {
-            0 if self.odd_sizes => 0.0,
-            1 if self.odd_sizes => f64::NAN,
-            2 if self.odd_sizes => -1.0,
-            3 if self.odd_sizes => 0.002,
+            0 if self.has_invalid_weights => 0.0,
+            1 if self.has_invalid_weights => f64::NAN,
+            2 if self.has_invalid_weights => -1.0,
+            3 if self.has_invalid_weights => 0.002,
             _ => 1.0 + 0.5 * f64::from(number % 3),
         }
     }
 }
 
+/// How an endpoint's capacity grows after a start.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowStart {
+    /// The share of the full capacity at the start.
+    pub initial_warmth: f64,
+    /// The time until the full capacity is reached.
+    pub warmup_ms: f64,
+}
+
+/// When and how an attempt ends.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptEnd {
+    /// The time of the end; infinite if the endpoint never responds.
+    pub at_ms: f64,
+    /// The result.
+    pub result: AttemptResult,
+}
+
+impl AttemptEnd {
+    /// An end at this time with this result.
+    pub fn at(at_ms: f64, result: AttemptResult) -> AttemptEnd {
+        AttemptEnd { at_ms, result }
+    }
+}
+
 /// One endpoint.
 pub struct SimulatedEndpoint {
-    /// Its line in the endpoint list.
-    pub line: Endpoint,
-    /// What is wrong with it.
+    /// Its entry in the endpoint list.
+    pub entry: Endpoint,
+    /// Its current fault.
     pub fault: Fault,
-    /// A factor on the time of all its requests.
+    /// A factor on all its service times.
     pub slowdown: f64,
-    /// The most cores it may use, and when each is free again.
-    cores: Vec<f64>,
-    queue: usize,
-    work: f64,
-    /// When each request that it holds will be done.
-    done: Vec<f64>,
+    /// When each core becomes idle, in milliseconds.
+    core_idle_at_ms: Vec<f64>,
+    queue_capacity: usize,
+    service_time_ms: f64,
+    /// When each request in flight will be completed, in milliseconds.
+    completions_ms: Vec<f64>,
 }
 
 impl SimulatedEndpoint {
-    /// `SimulatedEndpoint` number `index` of the pool, under a name of the caller's choice.
+    /// Endpoint number `index` of the pool.
     pub fn new(
         pool: &EndpointPool,
         index: usize,
         name: EndpointName,
-        since: f64,
+        started_at_ms: f64,
     ) -> SimulatedEndpoint {
         let number = index as u32;
-        let kind = number % pool.kinds;
+        let hardware = number % pool.hardware_kinds;
         SimulatedEndpoint {
-            line: Endpoint {
+            entry: Endpoint {
                 name,
                 zone: number % pool.zones,
                 cell: number % pool.cells,
-                hardware: kind,
-                weight: pool.size(number),
+                hardware,
+                weight: pool.weight(number),
                 state: EndpointState::Ready,
-                started_at_ms: since,
+                started_at_ms,
             },
             fault: Fault::None,
             slowdown: 1.0,
-            cores: vec![0.0; pool.cores],
-            queue: pool.queue,
-            work: pool.work * (1.0 + 0.4 * f64::from(kind)),
-            done: Vec::new(),
+            core_idle_at_ms: vec![0.0; pool.cores],
+            queue_capacity: pool.queue_capacity,
+            service_time_ms: pool.service_time_ms * (1.0 + 0.4 * f64::from(hardware)),
+            completions_ms: Vec::new(),
         }
     }
 
-    /// The share of its capacity it has at this time after its last start.
-    fn warmth(&self, now: f64, cold_from: f64, warm_within: f64) -> f64 {
-        if self.line.started_at_ms <= 0.0 || warm_within <= 0.0 {
+    /// The share of its full capacity that the endpoint has reached since its last start.
+    fn warmth(&self, now_ms: f64, slow_start: SlowStart) -> f64 {
+        if self.entry.started_at_ms <= 0.0 || slow_start.warmup_ms <= 0.0 {
             return 1.0;
         }
-        let age = ((now - self.line.started_at_ms) / warm_within).clamp(0.0, 1.0);
-        cold_from + (1.0 - cold_from) * age
+        let progress = ((now_ms - self.entry.started_at_ms) / slow_start.warmup_ms).clamp(0.0, 1.0);
+        slow_start.initial_warmth + (1.0 - slow_start.initial_warmth) * progress
     }
 
-    /// Serves a request that arrives now: when the attempt ends, and how.
+    /// Accepts an attempt that arrives now, and computes when and how it ends.
     pub fn serve(
         &mut self,
-        now: f64,
-        weight: f64,
-        slow_start: (f64, f64),
+        now_ms: f64,
+        work_factor: f64,
+        slow_start: SlowStart,
         rng: &mut Pcg64Mcg,
-    ) -> (f64, AttemptResult) {
-        let lot = rng.random::<f64>();
+    ) -> AttemptEnd {
+        let fault_draw = rng.random::<f64>();
         match self.fault {
-            Fault::Errors(share) if lot < share => return (now + 3.0, AttemptResult::Error),
-            Fault::Resets(share) if lot < share => {
-                return (now + 12.0, AttemptResult::ConnectionReset);
+            Fault::Errors(share) if fault_draw < share => {
+                return AttemptEnd::at(now_ms + 3.0, AttemptResult::Error);
+            }
+            Fault::Resets(share) if fault_draw < share => {
+                return AttemptEnd::at(now_ms + 12.0, AttemptResult::ConnectionReset);
+            }
+            Fault::Overloaded => return AttemptEnd::at(now_ms + 1.0, AttemptResult::Overloaded),
+            Fault::Unreachable => {
+                return AttemptEnd::at(now_ms + 1.0, AttemptResult::ConnectFailed);
             }
-            Fault::Full => return (now + 1.0, AttemptResult::Overloaded),
-            Fault::Unreachable => return (now + 1.0, AttemptResult::ConnectFailed),
-            Fault::Silent => return (f64::INFINITY, AttemptResult::TimedOut),
+            Fault::Silent => return AttemptEnd::at(f64::INFINITY, AttemptResult::TimedOut),
             _ => {}
         }
-        if self.line.state == EndpointState::Removed {
-            return (now + 1.0, AttemptResult::ConnectFailed);
+        if self.entry.state == EndpointState::Removed {
+            return AttemptEnd::at(now_ms + 1.0, AttemptResult::ConnectFailed);
         }
-        if self.held(now) >= self.cores.len() + self.queue {
-            return (now + 1.0, AttemptResult::Overloaded);
+        if self.in_flight(now_ms) >= self.core_idle_at_ms.len() + self.queue_capacity {
+            return AttemptEnd::at(now_ms + 1.0, AttemptResult::Overloaded);
         }
-        let capacity = self.warmth(now, slow_start.0, slow_start.1);
-        let time = self.work * weight * self.slowdown / capacity.max(0.01);
+        let capacity = self.warmth(now_ms, slow_start);
+        let service_time_ms =
+            self.service_time_ms * work_factor * self.slowdown / capacity.max(0.01);
         let noise = rng.random_range(0.6..1.6);
-        let core = self
-            .cores
+        let core_idle_at_ms = self
+            .core_idle_at_ms
             .iter_mut()
-            .min_by(|a, b| a.total_cmp(b))
+            .min_by(|first, second| first.total_cmp(second))
             .expect("an endpoint has cores");
-        *core = core.max(now) + time * noise;
-        self.done.push(*core);
-        (*core, AttemptResult::Success)
+        *core_idle_at_ms = core_idle_at_ms.max(now_ms) + service_time_ms * noise;
+        self.completions_ms.push(*core_idle_at_ms);
+        AttemptEnd::at(*core_idle_at_ms, AttemptResult::Success)
     }
 
-    /// The number of requests it holds.
-    pub fn held(&mut self, now: f64) -> usize {
-        self.done.retain(|done| *done > now);
-        self.done.len()
+    /// The number of requests in flight.
+    fn in_flight(&mut self, now_ms: f64) -> usize {
+        self.completions_ms
+            .retain(|completed_at_ms| *completed_at_ms > now_ms);
+        self.completions_ms.len()
     }
 
-    /// Its load report. Some endpoints leave out some of the figures.
-    pub fn report(&mut self, now: f64) -> LoadReport {
-        let held = self.held(now) as f64;
-        let busy = (held / self.cores.len() as f64).min(1.0);
+    /// Its load report. Only endpoints of the first hardware kind state their utilization.
+    pub fn load_report(&mut self, now_ms: f64) -> LoadReport {
+        let in_flight = self.in_flight(now_ms) as f64;
+        let utilization = (in_flight / self.core_idle_at_ms.len() as f64).min(1.0);
         LoadReport {
-            in_flight: Some(held),
-            utilization: (self.line.hardware == 0).then_some(busy),
+            in_flight: Some(in_flight),
+            utilization: (self.entry.hardware == 0).then_some(utilization),
             requests_per_second: None,
         }
     }
 
-    /// Its process ends and starts anew under the same name.
-    pub fn restart(&mut self, now: f64) {
-        self.line.state = EndpointState::Ready;
-        self.line.started_at_ms = now;
+    /// Starts the endpoint's process again under the same name.
+    pub fn restart(&mut self, now_ms: f64) {
+        self.entry.state = EndpointState::Ready;
+        self.entry.started_at_ms = now_ms;
         self.fault = Fault::None;
         self.slowdown = 1.0;
-        self.done.clear();
-        self.cores.fill(now);
+        self.completions_ms.clear();
+        self.core_idle_at_ms.fill(now_ms);
     }
 }
--- a/examples/decision_digest/main.rs
+++ b/examples/decision_digest/main.rs
@@ -1,6 +1,6 @@
-//! Plays seeded fleets of gateways against the decision code and prints a digest of all actions.
+//! Plays seeded fleets of decision engines and prints a digest of all their actions.
 //!
-//! One line for each scenario and seed: name, seed, number of actions, digest. The same code
+//! There is one line for each scenario and seed: name, seed, number of actions, digest. The same code
 //! prints the same lines on every run, and a change of any decision changes a digest.
 //!
 //! Usage: `decision_digest [--list] [SCENARIO...]`
@@ -34,12 +34,12 @@
         eprintln!("there is no scenario {unknown:?}; --list names all of them");
         return ExitCode::FAILURE;
     }
-    let chosen = |scenario: &&Scenario| {
+    let is_selected = |scenario: &&Scenario| {
         arguments.is_empty() || arguments.iter().any(|name| name == scenario.name)
     };
     let runs: Vec<(&Scenario, u64)> = scenarios
         .iter()
-        .filter(chosen)
+        .filter(is_selected)
         .flat_map(|scenario| scenario.seeds.iter().map(move |seed| (scenario, *seed)))
         .collect();
     for line in play_all(&runs) {
@@ -50,11 +50,11 @@
 
 /// Plays all runs in a few threads and gives their output lines in the order of the runs.
 fn play_all(runs: &[(&Scenario, u64)]) -> Vec<String> {
-    let next = AtomicUsize::new(0);
-    let worker = || {
+    let next_run = AtomicUsize::new(0);
+    let play_remaining_runs = || {
         let mut lines = Vec::new();
         loop {
-            let index = next.fetch_add(1, Ordering::Relaxed);
+            let index = next_run.fetch_add(1, Ordering::Relaxed);
             let Some((scenario, seed)) = runs.get(index) else {
                 return lines;
             };
@@ -62,7 +62,9 @@
         }
     };
     let mut lines: Vec<(usize, String)> = std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(worker)).collect();
+        let threads: Vec<_> = (0..THREADS)
+            .map(|_| scope.spawn(play_remaining_runs))
+            .collect();
         threads
             .into_iter()
             .flat_map(|thread| thread.join().expect("a scenario does not panic"))
