Split the tests of client connections, the adapter and the estimators by subject

The tests of client connections are now three files with a shared listener fixture; those of the adapter and of the estimators are folders with a file per subject. The check of the host's settings stood twice in the tests of the settings documents and is now one comparison of structs, with the same five values.

The assertions are unchanged.

--- /dev/null
+++ b/tests/gateway/client_connections.rs
@@ -0,0 +1,147 @@
+//! How client connections are closed, also with input that the runtime has not seen yet, and how
+//! disconnects are noticed.
+
+use crate::client_listener::*;
+use crate::support::*;
+use marlshelf::gateway::clients::REQUEST_TIMEOUT;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+#[test]
+fn command_that_arrived_before_its_connection_is_closed_is_answered() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let client = listener.connect_and_ping().await;
+        let mut client = write_unseen_by_runtime(client, PING);
+        listener.connections.close_soon();
+        assert_eq!(read_to_end(&mut client).await, "+PONG\r\n");
+    });
+}
+
+#[test]
+fn partial_command_at_shutdown_is_completed_and_answered() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let client = listener.connect_and_ping().await;
+        let mut idle = listener.connect_and_ping().await;
+        let mut client = write_unseen_by_runtime(client, &PING[..9]);
+        listener.connections.close_soon();
+        assert_eq!(
+            read_to_end(&mut idle).await,
+            "",
+            "an idle connection is closed"
+        );
+        send(&mut client, &PING[9..]).await;
+        assert_eq!(read_to_end(&mut client).await, "+PONG\r\n");
+    });
+}
+
+#[test]
+fn command_that_arrived_before_the_request_timeout_is_answered() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let client = listener.connect().await;
+        wait_until(|| !listener.connections.is_empty()).await;
+        let mut client = write_unseen_by_runtime(client, PING);
+        listener
+            .connections
+            .expire(Instant::now() + REQUEST_TIMEOUT * 2);
+        listener.connections.close_soon();
+        assert_eq!(read_to_end(&mut client).await, "+PONG\r\n");
+    });
+}
+
+#[test]
+fn connection_without_a_complete_command_in_time_gets_an_error_and_is_closed() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut silent = listener.connect().await;
+        let mut partial = listener.connect_and_ping().await;
+        send(&mut partial, &PING[..9]).await;
+        let mut idle = listener.connect_and_ping().await;
+        // More than once: a part of a command that is not read yet has not begun to arrive.
+        let connections = listener.connections.clone();
+        spawn_local(async move {
+            loop {
+                connections.expire(Instant::now() + REQUEST_TIMEOUT * 2);
+                sleep(Duration::from_millis(5)).await;
+            }
+        });
+        let expected = "-ERR protocol error: no whole command in time\r\n";
+        assert_eq!(read_to_end(&mut silent).await, expected);
+        assert_eq!(read_to_end(&mut partial).await, expected);
+        assert_eq!(exchange(&mut idle, PING).await, "+PONG", "pauses are fine");
+    });
+}
+
+#[test]
+fn disconnect_that_the_runtime_has_not_seen_yet_is_known() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let client = listener.connect_and_ping().await;
+        let _other = listener.connect_and_ping().await;
+        assert_eq!(listener.connections.disconnected_count(), 0);
+        drop(client);
+        // The runtime does not run here, so only the socket itself can know.
+        let started = Instant::now();
+        while listener.connections.disconnected_count() == 0 {
+            assert!(
+                started.elapsed() < TEST_TIMEOUT,
+                "only the runtime would see it"
+            );
+        }
+    });
+}
+
+#[test]
+fn protocol_error_is_reported_behind_earlier_responses_and_closes() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut client = listener.connect().await;
+        send(
+            &mut client,
+            &[&request(1)[..], b"GET / HTTP/1.1\r\n\r\n"].concat(),
+        )
+        .await;
+        listener.handler.wait_for_requests(1).await;
+        listener.handler.answer(0, "$2\r\nhi\r\n");
+        assert_eq!(
+            read_to_end(&mut client).await,
+            "$2\r\nhi\r\n-ERR protocol error: an unexpected type\r\n"
+        );
+    });
+}
+
+#[test]
+fn connection_with_too_many_undelivered_response_bytes_is_closed() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut client = listener.connect().await;
+        send(&mut client, &[request(1), request(2)].concat()).await;
+        listener.handler.wait_for_requests(2).await;
+        // It cannot be written before the first one is answered.
+        listener.handler.answer(1, &"x".repeat((1 << 20) + 1));
+        wait_until(|| listener.connections.is_empty()).await;
+        let first = listener.handler.received.borrow()[0].id;
+        assert_eq!(*listener.handler.disconnected.borrow(), [first]);
+    });
+}
+
+#[test]
+fn only_unanswered_requests_of_a_closed_connection_are_reported() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut client = listener.connect().await;
+        send(&mut client, &[request(1), request(2), request(3)].concat()).await;
+        listener.handler.wait_for_requests(3).await;
+        listener.handler.answer(1, "+second\r\n");
+        drop(client);
+        wait_until(|| listener.connections.is_empty()).await;
+        let received = listener.handler.received.borrow();
+        assert_eq!(
+            *listener.handler.disconnected.borrow(),
+            [received[0].id, received[2].id]
+        );
+    });
+}
--- /dev/null
+++ b/tests/gateway/client_requests.rs
@@ -0,0 +1,164 @@
+//! How requests of clients are parsed, validated and encoded for an endpoint.
+
+use crate::client_listener::*;
+use crate::support::*;
+
+/// The bytes of an invalid request, and the error in its response.
+type InvalidRequest = (Vec<u8>, &'static str);
+
+/// A request with these fields, of the command for idempotent classes or for all others.
+fn request_with_fields(name: &str, fields: &str) -> Vec<u8> {
+    command(&[name, TENANT, TENANT, fields])
+}
+
+fn requests_with_invalid_parts() -> Vec<InvalidRequest> {
+    let ask = |tenant: &str, id: &str, fields: &str| command(&["Q.ASK", tenant, id, fields]);
+    vec![
+        (
+            command(&["Q.ASK", TENANT, TENANT]),
+            "wrong number of arguments",
+        ),
+        (
+            command(&["Q.ASK", TENANT, TENANT, VALID_FIELDS, "body", "more"]),
+            "wrong number of arguments",
+        ),
+        (ask("b4d65521", TENANT, VALID_FIELDS), "bad customer"),
+        (
+            ask("00000002b4d65521", TENANT, VALID_FIELDS),
+            "bad customer",
+        ),
+        (
+            ask("+0000000b4d65521", TENANT, VALID_FIELDS),
+            "bad customer",
+        ),
+        (ask(TENANT, "short", VALID_FIELDS), "bad id"),
+        (ask(TENANT, "zzzzzzzzzzzzzzzz", VALID_FIELDS), "bad id"),
+    ]
+}
+
+fn requests_with_invalid_fields() -> Vec<InvalidRequest> {
+    let fields = [
+        ("", "bad fields"),
+        ("c=read,nonsense", "bad fields"),
+        ("c=none,t=p", "bad c"),
+        ("c=read,t=none", "bad t"),
+        ("d=0", "bad d"),
+        ("d=-1", "bad d"),
+        ("d=+1", "bad d"),
+        ("d=", "bad d"),
+        ("d=1.5", "bad d"),
+        ("d=60001", "bad d"),
+        ("units=0", "bad units"),
+        ("units=NaN", "bad units"),
+        ("units=4.5", "bad units"),
+        ("first=2", "bad first"),
+        ("spread=0", "bad spread"),
+        ("spread=3", "bad spread"),
+        ("k=", "bad k"),
+        ("c=read,c=read", "a field stands twice"),
+        ("d=9,d=9", "a field stands twice"),
+        ("d=9,d=x", "bad d"),
+        ("k=1,k=2", "a field stands twice"),
+    ];
+    fields
+        .map(|(fields, error)| (request_with_fields("Q.ASK", fields), error))
+        .to_vec()
+}
+
+fn requests_with_missing_fields() -> Vec<InvalidRequest> {
+    let fields = [
+        ("Q.ASK", "t=p,d=9,units=1,spread=1,first=0", "missing c"),
+        ("Q.ASK", "c=read,d=9,units=1,spread=1,first=0", "missing t"),
+        ("Q.ASK", "c=read,t=p,units=1,spread=1,first=0", "missing d"),
+        ("Q.ASK", "c=read,t=p,d=9,spread=1,first=0", "missing units"),
+        ("Q.ASK", "c=read,t=p,d=9,units=1,spread=1", "missing first"),
+        ("Q.ASK", "c=read,t=p,d=9,units=1,first=0", "missing spread"),
+        ("Q.ASK", "c=read", "missing d"),
+        ("Q.ASK", "c=pay", "not the command of this class"),
+        ("Q.DO", "c=read", "not the command of this class"),
+        ("Q.DO", "c=order", "missing k"),
+        ("Q.DO", "c=order,k=1", "missing d"),
+    ];
+    fields
+        .map(|(name, fields, error)| (request_with_fields(name, fields), error))
+        .to_vec()
+}
+
+#[test]
+fn invalid_request_is_answered_with_its_error_and_stays_connected() {
+    let cases = [
+        requests_with_invalid_parts(),
+        requests_with_invalid_fields(),
+        requests_with_missing_fields(),
+    ]
+    .concat();
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut client = listener.connect().await;
+        for (sent, expected) in &cases {
+            assert_eq!(
+                exchange(&mut client, sent).await,
+                format!("-ERR {expected}"),
+                "{}",
+                String::from_utf8_lossy(sent)
+            );
+        }
+        assert_eq!(exchange(&mut client, PING).await, "+PONG");
+        assert!(listener.handler.received.borrow().is_empty());
+    });
+}
+
+#[test]
+fn valid_request_is_handled_with_its_fields() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut client = listener.connect().await;
+        let fields = "x=1,r=1,c=order,t=p,d=700,k=a,units=2.5,spread=2,first=1,r=0,r=1";
+        send(
+            &mut client,
+            &command(&["Q.DO", TENANT, "9B1F03AA5c7e2d41", fields, "body"]),
+        )
+        .await;
+        listener.handler.wait_for_requests(1).await;
+        let received = listener.handler.received.borrow();
+        let request = &received[0].request;
+        assert_eq!(&*request.tenant, TENANT);
+        assert_eq!(request.client_request_id, 0x9b1f_03aa_5c7e_2d41);
+        assert_eq!((request.class, request.plan), (2, 0));
+        assert_eq!((request.shard_start, request.shard_size), (1, 2));
+        assert_eq!((request.cost, request.wait_ms), (2.5, 700.0));
+        assert!(request.is_retry);
+    });
+}
+
+#[test]
+fn deadline_of_the_class_limits_how_long_a_client_waits() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut client = listener.connect().await;
+        send(&mut client, &request(1)).await;
+        listener.handler.wait_for_requests(1).await;
+        assert_eq!(listener.handler.received.borrow()[0].request.wait_ms, 800.0);
+    });
+}
+
+#[test]
+fn request_is_encoded_for_an_endpoint_with_only_its_deadline_changed() {
+    let fields = |deadline| format!("c=order,t=p,d={deadline},k=a,units=1,spread=1,first=0");
+    let encoded = |deadline| command(&["Q.DO", TENANT, TENANT, &fields(deadline), "body\r\n"]);
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut client = listener.connect().await;
+        let sent = encoded(9000);
+        send(&mut client, &sent).await;
+        listener.handler.wait_for_requests(1).await;
+        let received = listener.handler.received.borrow();
+        let request = &received[0].request;
+        assert_eq!(request.command_len(), sent.len());
+        for deadline in [1, 87, 9000, 12_345] {
+            let mut out = Vec::new();
+            request.encode_for_endpoint(deadline, &mut out);
+            assert_eq!(out, encoded(deadline));
+        }
+    });
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,7 +2,10 @@
 
 mod bind;
 mod budget;
-mod clients;
+mod client_connections;
+mod client_listener;
+mod client_requests;
+mod client_responses;
 mod discovery;
 mod discovery_schedule;
 mod gateway;
--- a/tests/settings/documents.rs
+++ b/tests/settings/documents.rs
@@ -4,12 +4,34 @@
     COMPLETE_SETTINGS, REQUIRED_SETTINGS, both_documents, class, complete_settings, parse,
 };
 use marlshelf::{
-    ClassDocument, DeduplicationScope, DiscoveryMode, Idempotency, IdempotencyDocument,
-    LimitsDocument, RulesDocument, Settings, SettingsDocument,
+    ClassDocument, DeduplicationScope, DiscoveryMode, Idempotency, IdempotencyDocument, Settings,
+    SettingsDocument,
 };
 use serde_json::{Value, json};
 use std::time::Duration;
 
+/// The values that the gateway's host takes from the document itself.
+#[derive(Debug, PartialEq)]
+struct HostValues {
+    connect_timeout_ms: f64,
+    idle_connection_timeout_ms: f64,
+    max_active_requests: usize,
+    drain_grace_ms: f64,
+    max_poll_interval_ms: f64,
+}
+
+impl HostValues {
+    fn of(document: &SettingsDocument) -> HostValues {
+        HostValues {
+            connect_timeout_ms: document.limits.connect_timeout_ms,
+            idle_connection_timeout_ms: document.limits.idle_connection_timeout_ms,
+            max_active_requests: document.limits.max_active_requests,
+            drain_grace_ms: document.rules.drain_grace_ms,
+            max_poll_interval_ms: document.rules.max_poll_interval_ms,
+        }
+    }
+}
+
 #[test]
 fn both_forms_of_complete_settings_give_every_value() {
     for document in both_documents(COMPLETE_SETTINGS) {
@@ -24,23 +46,14 @@
         assert_eq!(document.discovery_mode, DiscoveryMode::Subscribe);
         // The longest deadline is 2500 ms, and the platform adds 700 ms.
         assert_eq!(document.termination_grace(), Duration::from_millis(3200));
-        let LimitsDocument {
-            connect_timeout_ms,
-            idle_connection_timeout_ms,
-            max_active_requests,
-            ..
-        } = document.limits;
-        assert_eq!(
-            [connect_timeout_ms, idle_connection_timeout_ms],
-            [310.0, 21_000.0]
-        );
-        assert_eq!(max_active_requests, 12_345);
-        let RulesDocument {
-            drain_grace_ms,
-            max_poll_interval_ms,
-            ..
-        } = document.rules;
-        assert_eq!([drain_grace_ms, max_poll_interval_ms], [450.0, 9000.0]);
+        let host_values = HostValues {
+            connect_timeout_ms: 310.0,
+            idle_connection_timeout_ms: 21_000.0,
+            max_active_requests: 12_345,
+            drain_grace_ms: 450.0,
+            max_poll_interval_ms: 9000.0,
+        };
+        assert_eq!(HostValues::of(&document), host_values);
     }
 }
 
@@ -104,23 +117,14 @@
         assert_eq!(document.termination_grace(), Duration::from_millis(3700));
         assert_eq!(document.classes[0].name, "");
         assert_eq!(document.classes[0].deadline_ms, 0.0);
-        let LimitsDocument {
-            connect_timeout_ms,
-            idle_connection_timeout_ms,
-            max_active_requests,
-            ..
-        } = document.limits;
-        assert_eq!(
-            [connect_timeout_ms, idle_connection_timeout_ms],
-            [250.0, 15_000.0]
-        );
-        assert_eq!(max_active_requests, 20_000);
-        let RulesDocument {
-            drain_grace_ms,
-            max_poll_interval_ms,
-            ..
-        } = document.rules;
-        assert_eq!([drain_grace_ms, max_poll_interval_ms], [500.0, 10_000.0]);
+        let host_values = HostValues {
+            connect_timeout_ms: 250.0,
+            idle_connection_timeout_ms: 15_000.0,
+            max_active_requests: 20_000,
+            drain_grace_ms: 500.0,
+            max_poll_interval_ms: 10_000.0,
+        };
+        assert_eq!(HostValues::of(&document), host_values);
     }
 }
 
