Let the test of hard limits by plan serve requests, so that a shared account shows

Change: the requests come over a second, in which the hard limit refills by four tokens; some have to be served.

--- a/tests/decisions/quota_owner.rs
+++ b/tests/decisions/quota_owner.rs
@@ -199,7 +199,10 @@
 #[test]
 fn usage_on_one_plan_does_not_change_the_hard_limit_of_another() {
     let count_served = |gateway: &mut TestGateway| {
-        gateway.count_served(100..200, |id| request(id, id as f64).plan(HARD_LIMIT))
+        // From 1 s to 2 s: the hard limit refills by four tokens meanwhile.
+        gateway.count_served(100..200, |id| {
+            request(id, 10.0 * id as f64).plan(HARD_LIMIT)
+        })
     };
     let mut gateway = TestGateway::new(settings_without_gossip());
     assert!(
@@ -208,5 +211,6 @@
     );
     let beside = count_served(&mut gateway);
     let alone = count_served(&mut TestGateway::new(settings_without_gossip()));
+    assert!(alone > 0, "the hard limit admits some requests");
     assert_eq!(beside, alone, "served under the hard limit");
 }
