--- a/src/decisions/quota_exchange.rs
+++ b/src/decisions/quota_exchange.rs
@@ -33,7 +33,7 @@
         let poll_credit = self.rng.random::<f64>();
         self.tenants.touch(account.tenant, now_ms, || Tenant {
             plan: account.plan,
-            owner: OwnerLedger::new(plan, &quota_owner::LEDGER, now_ms),
+            owner: OwnerLedger::new(plan, now_ms),
             client: ClientLedger::new(plan, poll_credit, now_ms),
         })
     }
@@ -55,7 +55,7 @@
     pub(crate) fn owned(&mut self, account: AccountId) -> &mut OwnerLedger {
         let (settings, lease_ms, now_ms) = (self.settings.clone(), self.permit_lease_ms(), self.now_ms);
         let tenant = self.tenant(account);
-        tenant.owner.advance(&settings.plans[tenant.plan], lease_ms, now_ms);
+        tenant.owner.advance(&settings.plans[tenant.plan], &quota_owner::LEDGER, lease_ms, now_ms);
         &mut tenant.owner
     }
 
--- a/src/decisions/quota_owner.rs
+++ b/src/decisions/quota_owner.rs
@@ -34,7 +34,7 @@
     if ledger.has_queued(&request) {
         return QuotaDecision::Queued;
     }
-    ledger.record_demand(demand, terms.now_ms);
+    ledger.record_demand(demand, &LEDGER);
     let hard_limit_applies = terms.plan.hard_limit_rate > 0.0 && terms.gossip_enabled;
     let leasable = if hard_limit_applies { ledger.leasable() } else { f64::INFINITY };
     if leasable < request.cost || !bucket_covers(ledger, request.cost, terms) {
@@ -46,7 +46,7 @@
     // Half of what is left at the most goes as a prefetch, as other gateways ask too.
     let left = ledger.tokens().min(leasable) - request.cost;
     let cost = request.cost + request.prefetch.min(left / 2.0).max(0.0);
-    ledger.grant(&request, cost, terms.now_ms);
+    ledger.grant(&request, cost, &LEDGER, terms.now_ms);
     QuotaDecision::Granted { cost }
 }
 
@@ -76,7 +76,7 @@
             decisions.push((request, QuotaDecision::Denied));
             continue;
         }
-        ledger.grant(&request, cost, terms.now_ms);
+        ledger.grant(&request, cost, &LEDGER, terms.now_ms);
         decisions.push((request, QuotaDecision::Granted { cost }));
     }
     decisions
--- a/src/records/bounded_history.rs
+++ b/src/records/bounded_history.rs
@@ -2,24 +2,22 @@
 
 use std::collections::VecDeque;
 
-/// Remembers the values pushed last, up to a number of them.
+/// Remembers the values pushed last.
 pub(crate) struct BoundedHistory<T> {
     values: VecDeque<T>,
-    capacity: usize,
 }
 
 impl<T: PartialEq> BoundedHistory<T> {
-    /// Remembers nothing yet, and `capacity` values at the most.
-    pub(crate) fn new(capacity: usize) -> BoundedHistory<T> {
+    /// Remembers nothing yet.
+    pub(crate) fn new() -> BoundedHistory<T> {
         BoundedHistory {
             values: VecDeque::new(),
-            capacity,
         }
     }
 
-    /// Remembers a value; the oldest makes room where needed.
-    pub(crate) fn push(&mut self, value: T) {
-        self.values.truncate(self.capacity - 1);
+    /// Remembers a value, and `capacity` values at the most; the oldest make room where needed.
+    pub(crate) fn push(&mut self, value: T, capacity: usize) {
+        self.values.truncate(capacity.saturating_sub(1));
         self.values.push_front(value);
     }
 
--- a/src/records/client_ledger.rs
+++ b/src/records/client_ledger.rs
@@ -13,10 +13,19 @@
 }
 
 /// Tokens that the owner granted in advance.
-#[derive(Default)]
 struct Prefetch {
     tokens: f64,
-    requested_at_ms: Option<f64>,
+    /// Negative infinity for never.
+    requested_at_ms: f64,
+}
+
+impl Default for Prefetch {
+    fn default() -> Prefetch {
+        Prefetch {
+            tokens: 0.0,
+            requested_at_ms: f64::NEG_INFINITY,
+        }
+    }
 }
 
 /// Tokens, permits and demand of one tenant on one plan at this gateway.
@@ -117,14 +126,12 @@
 
     /// How long ago tokens were last asked for in advance; infinite if never.
     pub(crate) fn prefetch_age_ms(&self, now_ms: f64) -> f64 {
-        self.prefetch
-            .requested_at_ms
-            .map_or(f64::INFINITY, |at_ms| now_ms - at_ms)
+        now_ms - self.prefetch.requested_at_ms
     }
 
     /// Tokens were asked for in advance.
     pub(crate) fn prefetch_requested(&mut self, now_ms: f64) {
-        self.prefetch.requested_at_ms = Some(now_ms);
+        self.prefetch.requested_at_ms = now_ms;
     }
 
     /// Adds to the prefetched tokens, or takes from them (`tokens` below zero).
--- a/src/records/owner_ledger.rs
+++ b/src/records/owner_ledger.rs
@@ -3,7 +3,7 @@
 use super::{BoundedHistory, PermitPool};
 use crate::gossip::{OwnerState, PermitId, QuotaRequest};
 use crate::settings::Plan;
-use crate::statistics::{BucketLimits, DecayingValue, TokenBucket, exponential_decay};
+use crate::statistics::{BucketLimits, TokenBucket, exponential_decay};
 use std::collections::VecDeque;
 
 /// How an owner's ledger is kept.
@@ -20,15 +20,15 @@
 
 /// Tokens, permits and requests of one tenant on one plan.
 pub(crate) struct OwnerLedger {
-    parameters: &'static OwnerLedgerParameters,
     updated_at_ms: f64,
     bucket: TokenBucket,
     /// Tokens that did not fit into the bucket lately.
     overflow: f64,
     /// What the hard limit still lets the owner lease, whatever is returned.
     hard_limit: TokenBucket,
-    demand: DecayingValue,
-    granted: DecayingValue,
+    /// Tokens a second that were asked for, and that were granted, as of the last update.
+    demand: f64,
+    granted: f64,
     permits: PermitPool,
     queue: VecDeque<QuotaRequest>,
     recent_grants: BoundedHistory<PermitId>,
@@ -36,22 +36,17 @@
 
 impl OwnerLedger {
     /// A full bucket. The hard limit starts empty, as an earlier incarnation of this gateway may have spent it.
-    pub(crate) fn new(
-        plan: &Plan,
-        parameters: &'static OwnerLedgerParameters,
-        now_ms: f64,
-    ) -> OwnerLedger {
+    pub(crate) fn new(plan: &Plan, now_ms: f64) -> OwnerLedger {
         OwnerLedger {
-            parameters,
             updated_at_ms: now_ms,
             bucket: TokenBucket::with_level(plan.burst),
             overflow: 0.0,
             hard_limit: TokenBucket::default(),
-            demand: DecayingValue::new(0.0, now_ms),
-            granted: DecayingValue::new(0.0, now_ms),
+            demand: 0.0,
+            granted: 0.0,
             permits: PermitPool::default(),
             queue: VecDeque::new(),
-            recent_grants: BoundedHistory::new(parameters.remembered_grants),
+            recent_grants: BoundedHistory::new(),
         }
     }
 
@@ -62,28 +57,29 @@
 
     /// The state that goes with each response.
     pub(crate) fn state(&self) -> OwnerState {
-        let (demand, granted) = (self.demand.last_value(), self.granted.last_value());
         OwnerState {
-            demand,
-            granted,
+            demand: self.demand,
+            granted: self.granted,
             tokens: self.bucket.level(),
         }
     }
 
     /// Brings the ledger up to now: tokens, permits that expired, requests that waited too long.
-    pub(crate) fn advance(&mut self, plan: &Plan, permit_lease_ms: f64, now_ms: f64) {
+    pub(crate) fn advance(
+        &mut self,
+        plan: &Plan,
+        parameters: &OwnerLedgerParameters,
+        permit_lease_ms: f64,
+        now_ms: f64,
+    ) {
         let elapsed_ms = now_ms - self.updated_at_ms;
         self.updated_at_ms = now_ms;
-        self.refill(plan, elapsed_ms);
-        let window_ms = self.parameters.demand_window_ms;
-        self.demand.decay_to(now_ms, window_ms);
-        self.granted.decay_to(now_ms, window_ms);
+        self.refill(plan, parameters, elapsed_ms);
         self.permits.expire(permit_lease_ms, now_ms);
         self.queue.retain(|request| request.expires_at_ms > now_ms);
     }
 
-    fn refill(&mut self, plan: &Plan, elapsed_ms: f64) {
-        let parameters = self.parameters;
+    fn refill(&mut self, plan: &Plan, parameters: &OwnerLedgerParameters, elapsed_ms: f64) {
         let limits = BucketLimits {
             tokens_per_second: plan.refill_rate,
             burst: plan.burst,
@@ -96,6 +92,8 @@
             burst: parameters.leased_burst_fraction * plan.hard_limit_burst,
         };
         self.hard_limit.refill(leased, elapsed_ms);
+        self.demand *= decay;
+        self.granted *= decay;
     }
 
     /// The tokens in the bucket; below zero while it is overdrawn.
@@ -141,21 +139,26 @@
     }
 
     /// Counts tokens that were asked for.
-    pub(crate) fn record_demand(&mut self, tokens: f64, now_ms: f64) {
-        self.demand
-            .add_event(tokens, now_ms, self.parameters.demand_window_ms);
+    pub(crate) fn record_demand(&mut self, tokens: f64, parameters: &OwnerLedgerParameters) {
+        self.demand += tokens * 1000.0 / parameters.demand_window_ms;
     }
 
     /// Charges a granted request, and leases its permit.
-    pub(crate) fn grant(&mut self, request: &QuotaRequest, cost: f64, now_ms: f64) {
+    pub(crate) fn grant(
+        &mut self,
+        request: &QuotaRequest,
+        cost: f64,
+        parameters: &OwnerLedgerParameters,
+        now_ms: f64,
+    ) {
         self.bucket.take(cost);
         self.hard_limit.take(cost);
-        self.granted
-            .add_event(cost, now_ms, self.parameters.demand_window_ms);
+        self.granted += cost * 1000.0 / parameters.demand_window_ms;
         if request.needs_permit {
             self.permits.lease(request.permit_id(), now_ms);
         }
-        self.recent_grants.push(request.permit_id());
+        self.recent_grants
+            .push(request.permit_id(), parameters.remembered_grants);
     }
 
     /// Charges tokens that were used without a grant, or takes back unused ones (`cost` below zero), and a permit.
