Repeat reads that a stop of the test process interrupts

Cause: a read on a socket with a timeout ends with EINTR when the test process is stopped and continued, and the stand-ins took that for a connection that was not closed. Change: the two reads that reported an error as an answer are repeated.

--- a/tests/process/support/connection.rs
+++ b/tests/process/support/connection.rs
@@ -1,7 +1,7 @@
 //! One end of a connection that speaks RESP: a client's, or a stand-in endpoint's.
 
 use super::{TEST_TIMEOUT, ping_command};
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 
 /// A command that a stand-in endpoint has received.
@@ -43,6 +43,17 @@
     }
 }
 
+/// Repeats a read that was interrupted. The kernel interrupts a read with a timeout when the process is stopped and
+/// continued, as a debugger or a frozen container does.
+fn retry_interrupted(mut read: impl FnMut() -> io::Result<usize>) -> io::Result<usize> {
+    loop {
+        match read() {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
 pub struct Connection {
     pub stream: BufReader<TcpStream>,
 }
@@ -153,12 +164,13 @@
 
     /// Waits for the next byte or the end of the stream; true if a byte is there, which is not consumed.
     pub fn has_further_input(&mut self) -> bool {
-        self.stream.fill_buf().is_ok_and(|bytes| !bytes.is_empty())
+        let input = retry_interrupted(|| self.stream.fill_buf().map(<[u8]>::len));
+        input.is_ok_and(|length| length > 0)
     }
 
     /// Waits for the next byte or the end of the stream; true if the other end has closed or reset the connection.
     pub fn is_closed_by_peer(&mut self) -> bool {
-        match self.stream.read(&mut [0; 1]) {
+        match retry_interrupted(|| self.stream.read(&mut [0; 1])) {
             Ok(length) => length == 0,
             Err(error) => error.kind() == ErrorKind::ConnectionReset,
         }
