Test the early close of idle clients by the gateway's own clock

Cause: the test connected 16 clients before it sent any command. On a machine that takes more than 2 s for that, the gateway rightly closes them as silent, and the first PING is never answered. The lower bound of 1.5 s was a threshold in wall-clock time, and the missing early close (20 s in place of 2 s) raced with the read timeout of 20 s. Change: the commands are there when the gateway accepts the clients. The close is awaited by an order of events: a partial command that begins later, and may last longer, is rejected no earlier.

--- a/tests/process/client_connections.rs
+++ b/tests/process/client_connections.rs
@@ -3,7 +3,6 @@
 use crate::support::*;
 use std::io::Write;
 use std::thread;
-use std::time::{Duration, Instant};
 
 fn request_with_fields(fields: &str) -> Vec<u8> {
     resp_command(&["Q.ASK", TENANT, REQUEST_ID, fields])
@@ -156,19 +155,34 @@
     client.expect_pong();
 }
 
+/// Connects clients that send this. Their input is there when the gateway accepts them, so that none of them counts as
+/// silent, however long the test takes.
+fn clients_with_input(gateway: &GatewayProcess, count: usize, input: &[u8]) -> Vec<Connection> {
+    gateway.suspend();
+    let mut clients: Vec<Connection> = (0..count).map(|_| gateway.connect()).collect();
+    for client in &mut clients {
+        client.send(input);
+    }
+    gateway.resume();
+    clients
+}
+
 #[test]
 fn idle_clients_are_closed_early_while_the_connection_table_is_over_half_full() {
     let fleet = SingleEndpoint::configured(|config| config.socket_limit = 64);
-    let started = Instant::now();
     // The table holds 21: these are more than half of it, and fit.
-    let mut clients: Vec<Connection> = (0..16).map(|_| fleet.gateway.connect()).collect();
-    for client in &mut clients {
-        client.expect_pong();
+    let mut idle = clients_with_input(&fleet.gateway, 16, &ping_command());
+    for client in &mut idle {
+        client.expect_reply("+PONG");
     }
-    clients[0].expect_close("it is idle and the table is over half full");
+    // This one comes after the others have fallen idle, and its time for a command is the longer one. By the gateway's
+    // own clock the first of them is closed before it is rejected, or together with it.
+    let mut partial = clients_with_input(&fleet.gateway, 1, PARTIAL_PING).remove(0);
+    partial.expect_reply_prefix("-ERR protocol error");
+    fleet.gateway.wait_until_input_is_processed();
     assert!(
-        started.elapsed() >= Duration::from_millis(1500),
-        "expected idle clients to stay for 1.5 s at least"
+        is_closed_now(idle[0].stream.get_mut()),
+        "expected the longest idle client to be closed by now, as the table is over half full"
     );
 }
 
