Give requests of the disconnect tests the longest lives

Cause: the requests lived for 8 s, which ruled more than the deadline. A permit was awaited for 4 s at most, a connection for 2 s, and an endpoint whose latency reached 1.5 s counted as full. On a loaded machine the set-up took longer than that: some clients of the test with 200 clients were rejected with -BUSY, and connections that the kernel's SYN retries complete late were given up before the test accepted them. Of the 200 clients the last was always rejected before it could wait.

--- a/tests/process/support/requests.rs
+++ b/tests/process/support/requests.rs
@@ -10,6 +10,10 @@
 /// A request id for the tests that look for one request.
 pub const REQUEST_ID: &str = "9b1f03aa5c7e2d41";
 
+/// The longest deadline that the gateway accepts. A request that has to stay in the gateway while a test is set up
+/// has this one, so that none of its times passes while a loaded machine runs something else.
+pub const LONGEST_DEADLINE_MS: u32 = 60_000;
+
 /// A RESP array of bulk strings.
 pub fn resp_command(arguments: &[&str]) -> Vec<u8> {
     let bulk_string = |argument: &&str| format!("${}\r\n{argument}\r\n", argument.len());
