Say what was read where a test expects a closed connection

Under heavy load a test failed with 'expected the connection to be closed' and nothing about what came instead. The message now holds the outcome of the read and the bytes. The condition is unchanged.

--- a/tests/process/support/connection.rs
+++ b/tests/process/support/connection.rs
@@ -1,7 +1,7 @@
 //! One end of a connection that speaks RESP: a client's, or a stand-in endpoint's.
 
 use super::{TEST_TIMEOUT, ping_command};
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 
 /// A command that a stand-in endpoint has received.
@@ -158,18 +158,18 @@
 
     /// Waits for the next byte or the end of the stream; true if the other end has closed or reset the connection.
     pub fn is_closed_by_peer(&mut self) -> bool {
-        match self.stream.read(&mut [0; 1]) {
-            Ok(length) => length == 0,
-            Err(error) => error.kind() == ErrorKind::ConnectionReset,
-        }
+        is_close(&self.stream.read(&mut [0; 1]))
     }
 
     /// Expects the other end to close the connection without sending anything more.
     #[track_caller]
     pub fn expect_close(&mut self, reason: &str) {
+        let mut byte = [0; 1];
+        let outcome = self.stream.read(&mut byte);
         assert!(
-            self.is_closed_by_peer(),
-            "expected the connection to be closed: {reason}"
+            is_close(&outcome),
+            "expected the connection to be closed: {reason}; got {outcome:?} with {:?}",
+            String::from_utf8_lossy(&[&byte, self.stream.buffer()].concat())
         );
     }
 
@@ -189,3 +189,11 @@
             .expect("the connection is open");
     }
 }
+
+/// Whether a read has found the connection closed or reset by the other end.
+fn is_close(read: &io::Result<usize>) -> bool {
+    match read {
+        Ok(length) => *length == 0,
+        Err(error) => error.kind() == ErrorKind::ConnectionReset,
+    }
+}
