--- a/tests/process/support/connection.rs
+++ b/tests/process/support/connection.rs
@@ -44,7 +44,7 @@
 }
 
 /// Repeats a read that was interrupted. The kernel interrupts a read with a timeout when the process is stopped and
-/// continued, as a debugger or a frozen container does.
+/// continued, as a debugger does.
 fn retry_interrupted(mut read: impl FnMut() -> io::Result<usize>) -> io::Result<usize> {
     loop {
         match read() {
@@ -170,18 +170,18 @@
 
     /// Waits for the next byte or the end of the stream; true if the other end has closed or reset the connection.
     pub fn is_closed_by_peer(&mut self) -> bool {
-        match retry_interrupted(|| self.stream.read(&mut [0; 1])) {
-            Ok(length) => length == 0,
-            Err(error) => error.kind() == ErrorKind::ConnectionReset,
-        }
+        is_close(&retry_interrupted(|| self.stream.read(&mut [0; 1])))
     }
 
     /// Expects the other end to close the connection without sending anything more.
     #[track_caller]
     pub fn expect_close(&mut self, reason: &str) {
+        let mut byte = [0; 1];
+        let outcome = retry_interrupted(|| self.stream.read(&mut byte));
         assert!(
-            self.is_closed_by_peer(),
-            "expected the connection to be closed: {reason}"
+            is_close(&outcome),
+            "expected the connection to be closed: {reason}; got {outcome:?} with {:?}",
+            String::from_utf8_lossy(&[&byte, self.stream.buffer()].concat())
         );
     }
 
@@ -201,3 +201,11 @@
             .expect("the connection is open");
     }
 }
+
+/// Whether a read has found the connection closed or reset by the other end.
+fn is_close(read: &io::Result<usize>) -> bool {
+    match read {
+        Ok(length) => *length == 0,
+        Err(error) => error.kind() == ErrorKind::ConnectionReset,
+    }
+}
