--- a/tests/gateway/client_connections.rs
+++ b/tests/gateway/client_connections.rs
@@ -80,18 +80,18 @@
     /// The gateway's idle timeout while more than half of the table of eight is in use.
     const SHORT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
     run_local(async {
-        let server = ListenerFixture::start().await;
+        let fixture = ListenerFixture::start().await;
         let before = Instant::now();
         let mut clients = Vec::new();
         for _ in 0..5 {
-            clients.push(server.connect_and_ping().await);
+            clients.push(fixture.connect_and_ping().await);
         }
-        server.connections.expire(before + SHORT_IDLE_TIMEOUT);
+        fixture.connections.expire(before + SHORT_IDLE_TIMEOUT);
         for client in &mut clients {
             assert_eq!(exchange(client, PING).await, "+PONG", "its time is not up");
         }
         let after = Instant::now();
-        server
+        fixture
             .connections
             .expire(after + SHORT_IDLE_TIMEOUT + Duration::from_millis(1));
         for client in &mut clients {
