--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -258,8 +258,8 @@
     fn tokens_available_in_ms(&self, request: &Request) -> Option<f64> {
         let tenant = self.tenants.get(&TenantKey::new(&request.tenant, request.plan))?;
         let refill_rate = self.settings.plans[tenant.plan].refill_rate;
-        let (tokens, as_of_ms) = tenant.known_tokens();
-        let missing = 1000.0 * (request.cost - tokens);
-        (refill_rate > 0.0).then(|| missing / refill_rate + as_of_ms - self.now_ms)
+        let known = tenant.known_tokens();
+        let missing = 1000.0 * (request.cost - known.tokens);
+        (refill_rate > 0.0).then(|| missing / refill_rate + known.as_of_ms - self.now_ms)
     }
 }
--- a/src/records/tenants.rs
+++ b/src/records/tenants.rs
@@ -10,12 +10,24 @@
     pub client: ClientLedger,
 }
 
+/// The tokens of a tenant as far as a gateway knows them.
+pub(crate) struct KnownTokens {
+    pub tokens: f64,
+    pub as_of_ms: f64,
+}
+
 impl Tenant {
-    /// The tokens in the bucket, as far as they are known here, and the time of which that is known.
-    pub(crate) fn known_tokens(&self) -> (f64, f64) {
+    /// The tokens in the bucket: as the owner last reported them, or as in the ledger of this gateway.
+    pub(crate) fn known_tokens(&self) -> KnownTokens {
         match self.client.owner_state() {
-            Some(received) => (received.state.tokens, received.at_ms),
-            None => (self.owner.tokens(), self.owner.updated_at_ms()),
+            Some(received) => KnownTokens {
+                tokens: received.state.tokens,
+                as_of_ms: received.at_ms,
+            },
+            None => KnownTokens {
+                tokens: self.owner.tokens(),
+                as_of_ms: self.owner.updated_at_ms(),
+            },
         }
     }
 }
--- a/src/statistics/ring.rs
+++ b/src/statistics/ring.rs
@@ -42,7 +42,7 @@
     /// others.
     ///
     /// The items form the ring in the given order, each as long as its weight. An item that lies
-    /// partly on the arc counts with that part of its weight. One random number is drawn for each
+    /// partly on the arc counts with that part of its weight. One random number is used for each
     /// item, in the given order.
     pub fn weighted_random_order<T: Copy>(&self, items: &[(T, f64)], rng: &mut impl Rng) -> Vec<T> {
         let total_weight = items.iter().fold(0.0, |sum, (_, weight)| sum + weight);
