Review: each run.sh sets the record and the disruption of its case itself

TROUBLE and record.txt were handled in the script and the drivers that the cases share; each run.sh now names and sets them. What the drivers play and check is unchanged.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,18 +1,18 @@
 #!/usr/bin/env bash
-# Runs the driver of a case: run-case.sh FOLDER DRIVER. The driver starts the gateways with the `run` command of the
-# deploy file, plays the other parties, writes FOLDER/record.txt, and ends the gateways.
-# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+# Runs the driver of a case: run-case.sh DRIVER. Its caller, the run.sh of the case, sets RECORD and TROUBLE. The driver
+# starts the gateways with the `run` command of the deploy file, plays the other parties, writes the record, and ends the
+# gateways.
 set -u
-CASE_DIR=$(cd "$1" && pwd) || exit 2
+: "${RECORD:?}" "${TROUBLE:?}"
 root=$(cd "$(dirname "$0")/.." && pwd) || exit 2
-driver="$root/review/standins/target/release/$2"
+driver="$root/review/standins/target/release/$1"
 cd "$root" || exit 2
 RUN_COMMAND=$(sed -n 's/^run = "\(.*\)".*$/\1/p' deploy/balancer.toml)
 [ -n "$RUN_COMMAND" ] || { echo "no run command in the deploy file" >&2; exit 2; }
 [ -x "$driver" ] || { echo "not built: review/build.sh" >&2; exit 2; }
 [ -x target/release/marlshelf-gateway ] || { echo "not built: the build of the deploy file" >&2; exit 2; }
 folder=$(mktemp -d) || exit 2
-export CASE_DIR RUN_COMMAND TMPDIR="$folder"
+export RECORD TROUBLE RUN_COMMAND TMPDIR="$folder"
 "$driver" &
 pid=$!
 trap 'kill -TERM "$pid" 2>/dev/null' TERM INT HUP
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -15,10 +15,10 @@
 /// A run that takes longer than this could not be judged.
 const LONGEST_RUN: Duration = Duration::from_secs(112);
 
-/// Opens `record.txt` in the folder of the case (`CASE_DIR`), and limits the length of the run.
+/// Opens the record (`RECORD`, the case's `record.txt`), and limits the length of the run.
 pub fn open() {
     START.set(Instant::now()).expect("opened once");
-    let path = PathBuf::from(std::env::var("CASE_DIR").expect("CASE_DIR is set")).join("record.txt");
+    let path = PathBuf::from(std::env::var("RECORD").expect("RECORD is set"));
     let file = File::create(path).expect("record.txt can be written");
     let _ = RECORD.set(Mutex::new(BufWriter::new(file)));
     let since_epoch = SystemTime::now()
