--- a/review/standins/src/bin/many_customers.rs
+++ b/review/standins/src/bin/many_customers.rs
@@ -121,9 +121,11 @@
 fn serve(job: &Job, random: &Mutex<Random>, running: &AtomicU64, slots: u64) {
     if running.fetch_add(1, Ordering::SeqCst) >= slots {
         running.fetch_sub(1, Ordering::SeqCst);
+        record::line(&format!("WORKER {} answers {} -BUSY", job.worker, job.id));
         job.connection.answer(b"-BUSY\r\n");
         return;
     }
+    record::line(&format!("WORKER {} runs {} {}", job.worker, job.command, job.id));
     let work_ms = {
         let mut random = random.lock().expect("random numbers");
         if job.command == "Q.DO" {
@@ -135,6 +137,7 @@
     sleep_ms(work_ms);
     running.fetch_sub(1, Ordering::SeqCst);
     let value = format!("result of {} by {}", job.id, job.worker);
+    record::line(&format!("WORKER {} answers {}", job.worker, job.id));
     job.connection.answer(&worker::served(value.as_bytes()));
 }
 
@@ -148,26 +151,39 @@
         record::line(&format!("BAD CLIENT {number} connects"));
         while Instant::now() < until {
             let mut bytes = Vec::new();
+            let mut ids = Vec::new();
             for _ in 0..COMMANDS_AT_ONCE {
                 let customer = FIRST_MADE_UP + random.below(CUSTOMERS - FIRST_MADE_UP);
                 let request = Request::new(Class::Read, customer, "starter", 6000);
                 bytes.extend_from_slice(&request.command(GATEWAYS));
+                ids.push(request.id);
             }
+            // One line for all of them: there are hundreds of thousands.
+            let batch = format!("{} to {}", ids[0], ids[COMMANDS_AT_ONCE - 1]);
+            record::line(&format!(
+                "BAD CLIENT {number} sends {COMMANDS_AT_ONCE} commands, {batch}"
+            ));
             if connection.send(&bytes).is_err() {
                 break;
             }
             BAD_SENT.fetch_add(COMMANDS_AT_ONCE as u64, Ordering::Relaxed);
             let mut is_open = true;
+            let (mut refused, mut other) = (0u64, 0u64);
             for _ in 0..COMMANDS_AT_ONCE {
                 match connection.reply(Duration::from_secs(8)) {
-                    Ok(reply) if meaning(&reply) == "refused" => BAD_REFUSED.fetch_add(1, Ordering::Relaxed),
-                    Ok(_) => BAD_OTHER.fetch_add(1, Ordering::Relaxed),
+                    Ok(reply) if meaning(&reply) == "refused" => refused += 1,
+                    Ok(_) => other += 1,
                     Err(_) => {
                         is_open = false;
                         break;
                     }
                 };
             }
+            BAD_REFUSED.fetch_add(refused, Ordering::Relaxed);
+            BAD_OTHER.fetch_add(other, Ordering::Relaxed);
+            record::line(&format!(
+                "BAD CLIENT {number} got for {batch}: refused={refused} other={other}"
+            ));
             if !is_open {
                 break;
             }
