--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -4,9 +4,9 @@
 mod common;
 mod customer_forms;
 mod half_commands;
-mod late_answers;
 mod log_reader;
-mod reloads;
+mod slow_discovery;
+mod wrong_lengths;
 
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
@@ -16,9 +16,9 @@
     let code = match name.as_str() {
         "customer-forms" => customer_forms::run(),
         "half-commands" => half_commands::run(),
-        "late-answers" => late_answers::run(),
         "log-reader" => log_reader::run(),
-        "reloads" => reloads::run(),
+        "slow-discovery" => slow_discovery::run(),
+        "wrong-lengths" => wrong_lengths::run(),
         _ => common::COULD_NOT_RUN,
     };
     common::say(match code {
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -91,7 +91,6 @@
 pub struct Gateway {
     pub name: String,
     pub address: SocketAddr,
-    config_path: PathBuf,
     child: Child,
 }
 
@@ -135,7 +134,7 @@
             let _ = writeln!(pids, "{}", child.id());
         }
         record(&format!("platform: started {name} as process {} at {address}", child.id()));
-        Gateway { name: name.into(), address, config_path, child }
+        Gateway { name: name.into(), address, child }
     }
 
     /// Waits until the gateway answers `PING` with `+PONG`, as the front does.
@@ -157,17 +156,6 @@
         false
     }
 
-    pub fn signal(&self, signal: &str) {
-        record(&format!("platform: SIG{signal} to {}", self.name));
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {}", self.child.id())]).status();
-    }
-
-    pub fn replace_config(&self, config: &str) {
-        let new = self.config_path.with_extension("new");
-        std::fs::write(&new, config).expect("the configuration can be written");
-        std::fs::rename(&new, &self.config_path).expect("the configuration can be replaced");
-    }
-
     /// Whether the process runs. A process that ended is recorded.
     pub fn is_running(&mut self) -> bool {
         match self.child.try_wait() {
@@ -476,15 +464,8 @@
 
 // Endpoints.
 
-/// What an endpoint does with a request once it has worked on it.
-pub enum Act {
-    /// Writes these bytes.
-    Write(Vec<u8>),
-    /// Writes these bytes and, this much later, others.
-    WriteTwice(Vec<u8>, Duration, Vec<u8>),
-}
-
-pub type Handler = Arc<dyn Fn(&Request) -> Act + Send + Sync>;
+/// Works on a request and returns the bytes that the endpoint answers with.
+pub type Handler = Arc<dyn Fn(&Request) -> Vec<u8> + Send + Sync>;
 
 /// An endpoint. Each connection has a thread, which works on one request at a time, in order.
 pub struct Endpoint {
@@ -520,23 +501,8 @@
             let text = |index: usize| String::from_utf8_lossy(&parts[index]).to_string();
             let fields = text(3).split(',').filter_map(|field| field.split_once('=').map(|(name, value)| (name.to_string(), value.to_string()))).collect();
             let request = Request { customer: text(1), id: text(2), fields, arrived: Instant::now(), is_once: name == "Q.DO" };
-            match handler(&request) {
-                Act::Write(bytes) => {
-                    if stream.write_all(&bytes).is_err() {
-                        return;
-                    }
-                }
-                Act::WriteTwice(first, delay, second) => {
-                    if stream.write_all(&first).is_err() {
-                        return;
-                    }
-                    if let Ok(mut copy) = stream.try_clone() {
-                        thread::spawn(move || {
-                            thread::sleep(delay);
-                            let _ = copy.write_all(&second);
-                        });
-                    }
-                }
+            if stream.write_all(&handler(&request)).is_err() {
+                return;
             }
         }
         match stream.read(&mut chunk) {
@@ -756,7 +722,7 @@
             let text = match answer {
                 Answer::Value(value) => {
                     *if is_own { &mut count.served } else { &mut count.foreign } += 1;
-                    format!("{}{}", String::from_utf8_lossy(&value), if is_own { "" } else { " (FOREIGN)" })
+                    format!("{}{}", String::from_utf8_lossy(&value), if is_own { "" } else { " (NOT MADE FOR IT)" })
                 }
                 Answer::Line(line) => {
                     *if line.starts_with("-BUSY") { &mut count.refused } else { &mut count.failed } += 1;
--- a/review/stand-ins-2/customer_forms.rs
+++ b/review/stand-ins-2/customer_forms.rs
@@ -44,7 +44,7 @@
             }
             drop(store);
             cores.work(Duration::from_millis(if request.is_once { 160 } else { 270 }));
-            Act::Write(good_answer(format!("value of {}", request.id).as_bytes(), Some(units)))
+            good_answer(format!("value of {}", request.id).as_bytes(), Some(units))
         });
         let endpoint = Endpoint::start(handler);
         discovery.set(&uid, endpoint.address, "ready", 0);
--- a/review/stand-ins-2/half_commands.rs
+++ b/review/stand-ins-2/half_commands.rs
@@ -17,7 +17,7 @@
         let cores = Cores::new(4);
         let handler: Handler = Arc::new(move |request: &Request| {
             cores.work(Duration::from_millis(if request.is_once { 160 } else { 270 }));
-            Act::Write(good_answer(format!("value of {}", request.id).as_bytes(), Some(request.number("units"))))
+            good_answer(format!("value of {}", request.id).as_bytes(), Some(request.number("units")))
         });
         let endpoint = Endpoint::start(handler);
         discovery.set(&uid, endpoint.address, "ready", 0);
@@ -71,7 +71,7 @@
                     }
                 };
                 thread::sleep(Duration::from_millis(random.between(300.0, 700.0) as u64));
-                if is_closed(&current) {
+                if end_of(&current).is_some() {
                     continue;
                 }
                 let id = new_id();
@@ -81,10 +81,10 @@
                 let _ = current.send(&bytes[..half]);
                 record(&format!("client {number}: first half of {id:016x} is written"));
                 thread::sleep(Duration::from_millis(900));
-                let closed_before = is_closed(&current);
+                let before = end_of(&current).unwrap_or("open");
                 let _ = current.send(&bytes[half..]);
                 let answer = current.receive(Duration::from_millis(3550));
-                record(&format!("client {number}: {id:016x} gets {answer:?}; closed before the second half was written: {closed_before}"));
+                record(&format!("client {number}: {id:016x} gets {answer:?}; before the second half was written, the connection was {before}"));
                 let kind = match &answer {
                     Answer::Value(_) => 0,
                     Answer::Line(_) => 1,
@@ -108,13 +108,15 @@
     if counts[2] + counts[3] > 0 { BROKEN } else { HELD }
 }
 
-fn is_closed(client: &Client) -> bool {
+/// How the gateway has ended the connection, if it has.
+fn end_of(client: &Client) -> Option<&'static str> {
     let stream = client.stream();
     let _ = stream.set_nonblocking(true);
     let peeked = stream.peek(&mut [0u8; 1]);
     let _ = stream.set_nonblocking(false);
     match peeked {
-        Ok(length) => length == 0,
-        Err(error) => error.kind() != ErrorKind::WouldBlock,
+        Ok(0) => Some("closed in order"),
+        Err(error) if error.kind() != ErrorKind::WouldBlock => Some("reset"),
+        _ => None,
     }
 }
--- a/review/stand-ins-2/log_reader.rs
+++ b/review/stand-ins-2/log_reader.rs
@@ -29,7 +29,7 @@
         let handler: Handler = Arc::new(move |request: &Request| {
             record(&format!("{name}: runs {}", request.id));
             cores.work(Duration::from_millis(if request.is_once { 160 } else { 270 }));
-            Act::Write(good_answer(format!("value of {}", request.id).as_bytes(), Some(request.number("units"))))
+            good_answer(format!("value of {}", request.id).as_bytes(), Some(request.number("units")))
         });
         let endpoint = Endpoint::start(handler);
         discovery.set(&uid, endpoint.address, "ready", 0);
