--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Plays the case "reloads"; writes record.txt beside this script. TROUBLE=0 leaves out the disruption.
+# Plays the case "slow-discovery"; writes record.txt beside this script. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
-exec sh "$here/../stand-ins-2/run-case.sh" "$here" reloads
+exec sh "$here/../stand-ins-2/run-case.sh" "$here" slow-discovery
