--- a/review/stand-ins-2/run-case.sh
+++ b/review/stand-ins-2/run-case.sh
@@ -18,8 +18,11 @@
   rm -rf "$CASE_WORK"
 }
 trap clean EXIT
-trap 'exit 2' INT TERM HUP
-timeout -k 2 115 "$program" "$name" "$folder/record.txt"
+trap '[ -z "$started" ] || kill "$started" 2>/dev/null; exit 2' INT TERM HUP
+started=
+timeout -k 2 115 "$program" "$name" "$folder/record.txt" &
+started=$!
+wait "$started"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
