Say with a type that the end of a reply is unknown

`parse_reply` returned a pair whose length was 0 if the elements after the value are malformed. It returns a `ParsedReply` with `length: None` now. No behaviour changes; the tests compare the same cases.

--- a/src/gateway/endpoints/connection.rs
+++ b/src/gateway/endpoints/connection.rs
@@ -225,16 +225,16 @@
             if !self.read_memory.set(buffer.capacity()) {
                 return Err(EndpointProtocolError::OutOfMemory);
             }
-            let Some((reply, length)) = parse_reply(&buffer)? else {
+            let Some(parsed) = parse_reply(&buffer)? else {
                 if buffer.len() > MAX_RESPONSE_BYTES {
                     return Err(EndpointProtocolError::ResponseTooLong);
                 }
                 continue;
             };
-            let no_surplus_bytes = length == buffer.len();
+            let no_surplus_bytes = parsed.length == Some(buffer.len());
             handler.handle_endpoint_event(EndpointEvent::ResponseReceived {
                 connection: self,
-                response: EndpointResponse::from_reply(reply, &buffer),
+                response: EndpointResponse::from_reply(parsed.reply, &buffer),
                 no_surplus_bytes,
             });
             if !no_surplus_bytes {
--- a/src/gateway/resp/mod.rs
+++ b/src/gateway/resp/mod.rs
@@ -14,4 +14,4 @@
 pub use encode::{put_bulk, put_digits, put_number};
 pub use error::ProtocolError;
 pub use primitives::MAX_VALUE_LEN;
-pub use reply::{Reply, parse_reply};
+pub use reply::{ParsedReply, Reply, parse_reply};
--- a/src/gateway/resp/reply.rs
+++ b/src/gateway/resp/reply.rs
@@ -23,27 +23,33 @@
     Error(Range<usize>),
 }
 
-/// Parses the reply at the start of `bytes`, and returns it with its length in bytes. Returns `None` if
-/// the reply is incomplete.
-///
-/// The length is 0 if the value is valid but the elements after it are malformed. The value can still be
-/// sent to the client, but the connection cannot be reused because the start of the next reply is
-/// unknown.
+/// A complete reply and its position in the input buffer, which starts with it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ParsedReply {
+    /// The reply.
+    pub reply: Reply,
+    /// The length in bytes, or `None` if the elements after the value are malformed. The value can be sent to
+    /// the client, but the start of the next reply is unknown, so the connection cannot be reused.
+    pub length: Option<usize>,
+}
+
+/// Parses the reply at the start of `bytes`. Returns `None` if the reply is incomplete.
 ///
 /// # Errors
 /// Returns an error if the bytes are neither an error line nor an array of three elements that starts
 /// with a value.
-pub fn parse_reply(bytes: &[u8]) -> Result<Option<(Reply, usize)>, ProtocolError> {
+pub fn parse_reply(bytes: &[u8]) -> Result<Option<ParsedReply>, ProtocolError> {
     match bytes.first() {
         None => Ok(None),
-        Some(b'-') => {
-            Ok(parse_line(bytes, 1)?.map(|line| (Reply::Error(1..line.value), line.next)))
-        }
+        Some(b'-') => Ok(parse_line(bytes, 1)?.map(|line| ParsedReply {
+            reply: Reply::Error(1..line.value),
+            length: Some(line.next),
+        })),
         Some(_) => parse_served(bytes),
     }
 }
 
-fn parse_served(bytes: &[u8]) -> Result<Option<(Reply, usize)>, ProtocolError> {
+fn parse_served(bytes: &[u8]) -> Result<Option<ParsedReply>, ProtocolError> {
     let Some(header) = parse_length(bytes, 0, b'*')? else {
         return Ok(None);
     };
@@ -54,19 +60,24 @@
         return Ok(None);
     };
     value.value.ok_or(ProtocolError::NullReplyValue)?;
-    let served = |used, report| Reply::Served {
-        value: header.next..value.next,
-        used,
-        report,
+    let served = |used, report, length| {
+        Ok(Some(ParsedReply {
+            reply: Reply::Served {
+                value: header.next..value.next,
+                used,
+                report,
+            },
+            length,
+        }))
     };
     let used = match parse_bulk(bytes, value.next) {
         Ok(Some(used)) => used,
         Ok(None) => return Ok(None),
-        Err(_) => return Ok(Some((served(None, None), 0))),
+        Err(_) => return served(None, None, None),
     };
-    Ok(match parse_bulk(bytes, used.next) {
-        Ok(Some(report)) => Some((served(used.value, report.value), report.next)),
-        Ok(None) => None,
-        Err(_) => Some((served(used.value, None), 0)),
-    })
+    match parse_bulk(bytes, used.next) {
+        Ok(Some(report)) => served(used.value, report.value, Some(report.next)),
+        Ok(None) => Ok(None),
+        Err(_) => served(used.value, None, None),
+    }
 }
--- a/tests/gateway/resp.rs
+++ b/tests/gateway/resp.rs
@@ -1,8 +1,8 @@
 //! RESP2 parsing and encoding.
 
 use marlshelf::gateway::resp::{
-    MAX_COMMAND_LEN, MAX_VALUE_LEN, ProtocolError, Reply, parse_command, parse_reply, put_bulk,
-    put_digits, put_number,
+    MAX_COMMAND_LEN, MAX_VALUE_LEN, ParsedReply, ProtocolError, Reply, parse_command, parse_reply,
+    put_bulk, put_digits, put_number,
 };
 
 const COMMAND: &[u8] = b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n";
@@ -24,7 +24,7 @@
     command
 }
 
-fn complete_reply(bytes: &[u8]) -> (Reply, usize) {
+fn complete_reply(bytes: &[u8]) -> ParsedReply {
     parse_reply(bytes).expect("valid").expect("complete")
 }
 
@@ -136,7 +136,7 @@
     for length in 0..SERVED.len() {
         assert_eq!(parse_reply(&SERVED[..length]), Ok(None), "{length} bytes");
     }
-    let (reply, length) = complete_reply(SERVED);
+    let ParsedReply { reply, length } = complete_reply(SERVED);
     let Reply::Served {
         value,
         used: Some(used),
@@ -145,7 +145,7 @@
     else {
         panic!("expected a successful reply, got {reply:?}")
     };
-    assert_eq!(length, SERVED.len());
+    assert_eq!(length, Some(SERVED.len()));
     assert_eq!(&SERVED[value], b"$2\r\nhi\r\n");
     assert_eq!(&SERVED[used], b"cost=3");
     assert_eq!(&SERVED[report], b"util=0.5");
@@ -163,18 +163,25 @@
     ];
     for (rest, used) in cases {
         let bytes = [VALUE_ONLY, rest].concat();
-        let expected = Reply::Served {
-            value: 4..12,
-            used,
-            report: None,
+        let expected = ParsedReply {
+            reply: Reply::Served {
+                value: 4..12,
+                used,
+                report: None,
+            },
+            length: None,
         };
-        assert_eq!(complete_reply(&bytes), (expected, 0), "{}", text(rest));
+        assert_eq!(complete_reply(&bytes), expected, "{}", text(rest));
     }
 }
 
 #[test]
 fn error_line_is_parsed_as_a_reply() {
-    assert_eq!(complete_reply(b"-BUSY\r\n"), (Reply::Error(1..5), 7));
+    let expected = ParsedReply {
+        reply: Reply::Error(1..5),
+        length: Some(7),
+    };
+    assert_eq!(complete_reply(b"-BUSY\r\n"), expected);
     assert_eq!(parse_reply(b"-BUSY\r"), Ok(None));
 }
 
