Let a gateway serve after 1,000,000 s: a time that never comes is None

Cause: EngineClock::instant bounded instants at a constant time after the start of the process. After that uptime the bound is in the past, so that all deadlines have passed and all timers are due.

Change: a time that is infinite or can't be an Instant becomes None. A timer for it is not set; an attempt without a deadline of its own ends with its request. The clock and the timers take their start as an argument.

Evidence: requests_are_served_after_any_uptime and requests_end_at_their_deadline_after_any_uptime run the real event loop after uptimes of up to 3 years; both fail with the old bound and pass without it. A third test shows that the runtime's timers hold past the turn of their wheel at 2.2 years.

--- a/src/gateway/engine_time.rs
+++ b/src/gateway/engine_time.rs
@@ -6,10 +6,6 @@
 use crate::{Milliseconds, Timestamp};
 use std::time::{Duration, Instant, SystemTime};
 
-/// Upper bound on the instants that timestamps are converted to, counted from the start of the process. The
-/// engine may set a timer for an infinite time, which an [`Instant`] cannot represent.
-const MAX_TIME_AFTER_START: Duration = Duration::from_secs(1_000_000);
-
 /// The engine's clock. It reads Unix time once, when it is created, and then advances with the monotonic
 /// clock, so it never steps back.
 pub(crate) struct EngineClock {
@@ -18,13 +14,15 @@
 }
 
 impl EngineClock {
-    pub fn new() -> EngineClock {
+    /// Creates a clock whose time began at `start`, which must not be in the future.
+    pub fn started_at(start: Instant) -> EngineClock {
         let unix_time = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
+        let unix_now = Timestamp::ZERO + to_milliseconds(unix_time);
         EngineClock {
-            start: Instant::now(),
-            unix_start: Timestamp::ZERO + to_milliseconds(unix_time),
+            start,
+            unix_start: unix_now - to_milliseconds(start.elapsed()),
         }
     }
 
@@ -33,10 +31,11 @@
         self.unix_start + to_milliseconds(instant.saturating_duration_since(self.start))
     }
 
-    /// Converts engine time to an instant. A time before the start of the clock maps to the start.
-    pub fn instant(&self, timestamp: Timestamp) -> Instant {
-        let since_start = to_duration(timestamp - self.unix_start);
-        self.start + since_start.min(MAX_TIME_AFTER_START)
+    /// Converts engine time to an instant. A time before the start of the clock maps to the start. Returns
+    /// `None` for a time that never comes: it is infinite or too late for an [`Instant`].
+    pub fn instant(&self, timestamp: Timestamp) -> Option<Instant> {
+        self.start
+            .checked_add(to_duration(timestamp - self.unix_start))
     }
 }
 
--- a/src/gateway/event_loop/engine_actions.rs
+++ b/src/gateway/event_loop/engine_actions.rs
@@ -29,8 +29,9 @@
         }
         Action::SetTimer { token, delay } => {
             let expires_at = event_loop.clock.timestamp(now) + delay;
-            let expires_at = event_loop.clock.instant(expires_at);
-            event_loop.schedule(expires_at, Timer::Engine { token });
+            if let Some(expires_at) = event_loop.clock.instant(expires_at) {
+                event_loop.schedule(expires_at, Timer::Engine { token });
+            }
         }
     }
 }
--- a/src/gateway/event_loop/mod.rs
+++ b/src/gateway/event_loop/mod.rs
@@ -92,6 +92,20 @@
         configuration: Configuration,
         gossip: Option<GossipSocket>,
         max_connections: usize,
+    ) -> Result<EventLoopHandle, SettingsError> {
+        EventLoop::started_at(Instant::now(), configuration, gossip, max_connections)
+    }
+
+    /// Creates an event loop like [`EventLoop::new`], whose clock and timers count from `start`. A start that
+    /// lies back makes it behave as after that uptime.
+    ///
+    /// # Errors
+    /// Returns an error if a setting has a value that the engine does not support.
+    pub fn started_at(
+        start: Instant,
+        configuration: Configuration,
+        gossip: Option<GossipSocket>,
+        max_connections: usize,
     ) -> Result<EventLoopHandle, SettingsError> {
         let memory_budget_bytes = configuration.memory_budget_bytes();
         let Configuration {
@@ -113,8 +127,8 @@
         let event_loop = Rc::new_cyclic(|event_loop: &Weak<RefCell<EventLoop>>| {
             RefCell::new(EventLoop {
                 engine,
-                clock: EngineClock::new(),
-                timers: TimerQueue::new(),
+                clock: EngineClock::started_at(start),
+                timers: TimerQueue::started_at(start),
                 forwarder: Forwarder::new(&settings, &limits, event_loop.clone()),
                 endpoint_translator: EndpointTranslator::new(
                     document.zones,
@@ -204,7 +218,7 @@
         let now = Instant::now();
         let client_deadline = (now + command.timeout).checked_sub(CLIENT_DEADLINE_MARGIN);
         let deadline = self.phase.cap_deadline(client_deadline.unwrap_or(now));
-        let request = ProxiedRequest::new(command, client);
+        let request = ProxiedRequest::new(command, client, deadline);
         let engine_request = request.to_engine_request(id, self.clock.timestamp(deadline));
         self.forwarder.requests.insert(id, request);
         let timer = Timer::AnswerDeadline { request: id };
@@ -266,13 +280,18 @@
 
     // Attempts and the connections that carry them.
 
+    /// Starts an attempt that ends at `deadline`, or with its request if it has no deadline of its own.
     fn start_attempt(
         &mut self,
         id: RequestId,
         endpoint: EndpointName,
         now: Instant,
-        deadline: Instant,
+        deadline: Option<Instant>,
     ) {
+        let Some(request) = self.forwarder.requests.get(id) else {
+            return;
+        };
+        let deadline = deadline.unwrap_or(request.deadline());
         match self.forwarder.start_attempt(id, endpoint, now, deadline) {
             ForwardOutcome::Running(attempt) => {
                 request_log::attempt_started(attempt.number);
--- a/src/gateway/event_loop/proxied_request.rs
+++ b/src/gateway/event_loop/proxied_request.rs
@@ -15,6 +15,7 @@
     command: ClientRequest,
     client: ClientState,
     received_at: Instant,
+    deadline: Instant,
     attempts_started: u32,
     attempt: Option<RunningAttempt>,
     /// Start of the first attempt that the endpoint may have executed.
@@ -32,11 +33,17 @@
 }
 
 impl ProxiedRequest {
-    pub fn new(command: ClientRequest, client: Rc<ClientConnection>) -> ProxiedRequest {
+    /// Creates a request that must be answered by `deadline`.
+    pub fn new(
+        command: ClientRequest,
+        client: Rc<ClientConnection>,
+        deadline: Instant,
+    ) -> ProxiedRequest {
         ProxiedRequest {
             command,
             client: ClientState::Receiving(client),
             received_at: Instant::now(),
+            deadline,
             attempts_started: 0,
             attempt: None,
             first_executed_at: None,
@@ -71,6 +78,10 @@
         }
     }
 
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     pub fn command(&self) -> &ClientRequest {
         &self.command
     }
--- a/src/gateway/event_loop/timers.rs
+++ b/src/gateway/event_loop/timers.rs
@@ -29,7 +29,7 @@
     ReapIdleConnections,
 }
 
-/// Whole microseconds since the creation of the queue. The engine's timestamps have a rounding error below
+/// Whole microseconds since the start of the queue. The engine's timestamps have a rounding error below
 /// one microsecond, which would make two timers for the same deadline fire in random order.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Tick(u64);
@@ -55,7 +55,7 @@
 }
 
 pub(super) struct TimerQueue {
-    created_at: Instant,
+    start: Instant,
     queue: BinaryHeap<Reverse<ScheduledTimer>>,
     /// Queue length that triggers the next purge.
     purge_at_length: usize,
@@ -65,9 +65,10 @@
 }
 
 impl TimerQueue {
-    pub fn new() -> TimerQueue {
+    /// Creates an empty queue. No timer may expire before `start`.
+    pub fn started_at(start: Instant) -> TimerQueue {
         TimerQueue {
-            created_at: Instant::now(),
+            start,
             queue: BinaryHeap::new(),
             purge_at_length: MIN_PURGE_LENGTH,
             sleeping_until: Tick::NEVER,
@@ -123,14 +124,10 @@
     }
 
     fn tick_at(&self, instant: Instant) -> Tick {
-        Tick(
-            instant
-                .saturating_duration_since(self.created_at)
-                .as_micros() as u64,
-        )
+        Tick(instant.saturating_duration_since(self.start).as_micros() as u64)
     }
 
     fn instant_at(&self, tick: Tick) -> Instant {
-        self.created_at + Duration::from_micros(tick.0)
+        self.start + Duration::from_micros(tick.0)
     }
 }
--- a/tests/gateway/gateway.rs
+++ b/tests/gateway/gateway.rs
@@ -1,7 +1,7 @@
 //! Tests of the event loop between clients and endpoints that force a specific order of events.
 
 use crate::support::*;
-use marlshelf::gateway::clients::{ClientConnections, ClientListener, RequestSchema};
+use marlshelf::gateway::clients::ClientConnections;
 use marlshelf::gateway::discovery::{EndpointUpdate, ListedEndpoint};
 use marlshelf::gateway::event_loop::{Connector, EventLoop, EventLoopHandle, run_timers};
 use marlshelf::gateway::resp;
@@ -19,19 +19,6 @@
 /// Size of a socket buffer that accepts only the beginning of a long command.
 const SMALL_SOCKET_BUFFER: usize = 4096;
 
-fn ready_endpoint(name: &str, address: SocketAddr) -> ListedEndpoint {
-    ListedEndpoint {
-        name: name.into(),
-        address,
-        zone: String::new(),
-        hardware: String::new(),
-        cell: 0,
-        state: EndpointState::Ready,
-        weight: 1.0,
-        started_at: Timestamp::ZERO,
-    }
-}
-
 fn in_state(endpoint: &ListedEndpoint, state: EndpointState) -> ListedEndpoint {
     ListedEndpoint {
         state,
@@ -39,14 +26,6 @@
     }
 }
 
-fn list_snapshot(gateway: &EventLoopHandle, endpoints: Vec<ListedEndpoint>) {
-    gateway.borrow_mut().endpoints_changed(&EndpointUpdate {
-        revision: 1,
-        snapshot: true,
-        endpoints,
-    });
-}
-
 fn list_change(gateway: &EventLoopHandle, revision: u64, endpoint: ListedEndpoint) {
     gateway.borrow_mut().endpoints_changed(&EndpointUpdate {
         revision,
@@ -55,12 +34,6 @@
     });
 }
 
-async fn bind_any() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind(ANY_PORT).await.expect("a free port");
-    let address = listener.local_addr().expect("a local address");
-    (listener, address)
-}
-
 /// Creates a gateway with one listed endpoint and an idle connection to it with small socket buffers. Returns
 /// the gateway and the endpoint's side of that connection.
 async fn gateway_with_slow_connection(listener: &TcpListener) -> (EventLoopHandle, TcpStream) {
@@ -86,35 +59,11 @@
     class: &str,
     body_length: usize,
 ) -> (Rc<ClientConnections>, TcpStream) {
-    client_with_command(gateway, command(class, "9b1f03aa5c7e2d41", body_length)).await
-}
-
-/// Connects a client that sends a command. Returns the connection table and the client.
-async fn client_with_command(
-    gateway: &EventLoopHandle,
-    command: Vec<u8>,
-) -> (Rc<ClientConnections>, TcpStream) {
-    let (socket, address) = bind_any().await;
-    let clients = ClientConnections::new(8, 1 << 20);
-    let schema = RequestSchema::new(&test_configuration(address).document);
-    let listener = ClientListener::new(clients.clone(), gateway.clone(), schema);
-    tokio::task::spawn_local(async move { listener.accept(&socket).await });
-    let mut client = TcpStream::connect(address).await.expect("a connection");
-    client
-        .write_all(&command)
-        .await
-        .expect("the bytes are written");
-    (clients, client)
-}
-
-fn command(class: &str, id: &str, body_length: usize) -> Vec<u8> {
-    let fields = format!("c={class},t=p,d=8000,k=1,units=1,spread=1,first=0");
-    let mut command = b"*5\r\n".to_vec();
-    for part in ["Q.DO", "00000000b4d65521", id, &fields] {
-        resp::put_bulk(&mut command, part.as_bytes());
-    }
-    resp::put_bulk(&mut command, &vec![b'x'; body_length]);
-    command
+    client_with_command(
+        gateway,
+        request_command(class, "9b1f03aa5c7e2d41", body_length),
+    )
+    .await
 }
 
 /// Waits until a connection has unread bytes, without reading them.
@@ -125,29 +74,6 @@
         .expect(expected);
 }
 
-/// Accepts a connection opened by the gateway.
-async fn accept(listener: &TcpListener, expected: &str) -> TcpStream {
-    let (stream, _) = timeout(TEST_TIMEOUT, listener.accept())
-        .await
-        .expect(expected)
-        .expect("a connection");
-    stream
-}
-
-async fn read_command(stream: &mut TcpStream) -> Vec<u8> {
-    let mut received = Vec::new();
-    while resp::parse_command(&received)
-        .expect("well-formed")
-        .is_none()
-    {
-        timeout(TEST_TIMEOUT, stream.read_buf(&mut received))
-            .await
-            .expect("a command in time")
-            .expect("an open connection");
-    }
-    received
-}
-
 async fn wait_for_client_closed(clients: &ClientConnections) {
     timeout(TEST_TIMEOUT, clients.connection_closed())
         .await
@@ -286,7 +212,7 @@
         open_gate.send_replace(true);
         let removed = in_state(&quick_endpoint, EndpointState::Removed);
         list_change(&gateway, 4, removed);
-        let next = command("pay", "00000000000000ff", 5);
+        let next = request_command("pay", "00000000000000ff", 5);
         let (_more_clients, _next_client) = client_with_command(&gateway, next).await;
         let mut connection = accept(
             &slow,
@@ -309,7 +235,7 @@
         let (gateway, endpoint_side) = gateway_with_slow_connection(&endpoint).await;
         let (clients, mut client) = client_with_request(&gateway, "pay", 4).await;
         wait_for_bytes(&endpoint_side, "the first request").await;
-        let last_command = command("pay", "00000000000000ff", 4);
+        let last_command = request_command("pay", "00000000000000ff", 4);
         client
             .write_all(&[PING.repeat(127), last_command].concat())
             .await
@@ -344,7 +270,7 @@
         let (clients, mut client) = client_with_request(&gateway, "pay", 4).await;
         wait_for_bytes(&endpoint_side, "the first request").await;
         let batch: Vec<u8> = (0..100)
-            .flat_map(|k| command("pay", &format!("{k:016x}"), 4))
+            .flat_map(|k| request_command("pay", &format!("{k:016x}"), 4))
             .collect();
         client
             .write_all(&batch)
@@ -382,7 +308,7 @@
             yield_now().await;
         }
         client
-            .write_all(&command("pay", "00000000000000ff", 4))
+            .write_all(&request_command("pay", "00000000000000ff", 4))
             .await
             .expect("the bytes are written");
         SockRef::from(&client)
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,3 +17,4 @@
 mod resp;
 mod stand_in_discovery;
 mod support;
+mod uptime;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -1,12 +1,17 @@
 //! Shared helpers for the tests of the gateway's components.
 
-use marlshelf::SettingsDocument;
+use marlshelf::gateway::clients::{ClientConnections, ClientListener, RequestSchema};
 use marlshelf::gateway::configuration::Configuration;
+use marlshelf::gateway::discovery::{EndpointUpdate, ListedEndpoint};
+use marlshelf::gateway::event_loop::EventLoopHandle;
+use marlshelf::gateway::resp;
+use marlshelf::{EndpointState, SettingsDocument, Timestamp};
 use std::io::Write;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 
@@ -79,3 +84,90 @@
         .expect("closed without a reset");
     text
 }
+
+pub fn ready_endpoint(name: &str, address: SocketAddr) -> ListedEndpoint {
+    ListedEndpoint {
+        name: name.into(),
+        address,
+        zone: String::new(),
+        hardware: String::new(),
+        cell: 0,
+        state: EndpointState::Ready,
+        weight: 1.0,
+        started_at: Timestamp::ZERO,
+    }
+}
+
+pub fn list_snapshot(gateway: &EventLoopHandle, endpoints: Vec<ListedEndpoint>) {
+    gateway.borrow_mut().endpoints_changed(&EndpointUpdate {
+        revision: 1,
+        snapshot: true,
+        endpoints,
+    });
+}
+
+pub async fn bind_any() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind(ANY_PORT).await.expect("a free port");
+    let address = listener.local_addr().expect("a local address");
+    (listener, address)
+}
+
+/// Connects a client that sends a command. Returns the connection table and the client.
+pub async fn client_with_command(
+    gateway: &EventLoopHandle,
+    command: Vec<u8>,
+) -> (Rc<ClientConnections>, TcpStream) {
+    let (socket, address) = bind_any().await;
+    let clients = ClientConnections::new(8, 1 << 20);
+    let schema = RequestSchema::new(&test_configuration(address).document);
+    let listener = ClientListener::new(clients.clone(), gateway.clone(), schema);
+    tokio::task::spawn_local(async move { listener.accept(&socket).await });
+    let mut client = TcpStream::connect(address).await.expect("a connection");
+    client
+        .write_all(&command)
+        .await
+        .expect("the bytes are written");
+    (clients, client)
+}
+
+pub fn request_command(class: &str, id: &str, body_length: usize) -> Vec<u8> {
+    request_command_with_deadline(class, id, body_length, 8000)
+}
+
+pub fn request_command_with_deadline(
+    class: &str,
+    id: &str,
+    body_length: usize,
+    deadline_ms: u64,
+) -> Vec<u8> {
+    let fields = format!("c={class},t=p,d={deadline_ms},k=1,units=1,spread=1,first=0");
+    let mut command = b"*5\r\n".to_vec();
+    for part in ["Q.DO", "00000000b4d65521", id, &fields] {
+        resp::put_bulk(&mut command, part.as_bytes());
+    }
+    resp::put_bulk(&mut command, &vec![b'x'; body_length]);
+    command
+}
+
+/// Accepts a connection opened by the gateway.
+pub async fn accept(listener: &TcpListener, expected: &str) -> TcpStream {
+    let (stream, _) = timeout(TEST_TIMEOUT, listener.accept())
+        .await
+        .expect(expected)
+        .expect("a connection");
+    stream
+}
+
+pub async fn read_command(stream: &mut TcpStream) -> Vec<u8> {
+    let mut received = Vec::new();
+    while resp::parse_command(&received)
+        .expect("well-formed")
+        .is_none()
+    {
+        timeout(TEST_TIMEOUT, stream.read_buf(&mut received))
+            .await
+            .expect("a command in time")
+            .expect("an open connection");
+    }
+    received
+}
