Test that a fleet decides after 59 days and 3 years as after an hour

FleetScenario has a start time for it.

It fails with a clock that stops 11.6 days after the start, and with the decay of values computed on times in f32.

--- a/examples/decision_digest/scenario/defaults.rs
+++ b/examples/decision_digest/scenario/defaults.rs
@@ -174,6 +174,7 @@
             },
             incidents: Vec::new(),
             end: Timestamp(15_000.0),
+            ..FleetScenario::default()
         },
         traffic: traffic(),
     }
--- a/simulation/src/fleet/mod.rs
+++ b/simulation/src/fleet/mod.rs
@@ -53,7 +53,7 @@
 }
 
 impl<'a, C: Clients, O: Observer> Fleet<'a, C, O> {
-    /// Creates a fleet at time 0, and schedules the first arrivals and all incidents.
+    /// Creates a fleet at the start time of the scenario, and schedules the first arrivals and all incidents.
     ///
     /// # Panics
     /// Panics if the settings of the scenario are invalid.
@@ -68,7 +68,7 @@
             clients,
             observer,
             randomness,
-            now: Timestamp::ZERO,
+            now: scenario.start,
             queue: EventQueue::default(),
             gateways: Vec::new(),
             endpoints: scenario.endpoints.initial_endpoints(),
--- a/simulation/src/scenario.rs
+++ b/simulation/src/scenario.rs
@@ -26,6 +26,8 @@
     pub endpoints: EndpointPool,
     /// Network that carries gossip between gateways.
     pub gossip: GossipNetwork,
+    /// Virtual time at which all gateways start.
+    pub start: Timestamp,
     /// Faults and changes of the fleet during the run, in any order.
     pub incidents: Vec<PlannedIncident>,
     /// Time at which the run ends. With [`Timestamp::DISTANT_FUTURE`] the run ends when no event is left.
@@ -42,6 +44,7 @@
             host_faults: HostFaults::default(),
             endpoints: EndpointPool::default(),
             gossip: GossipNetwork::default(),
+            start: Timestamp::ZERO,
             incidents: Vec::new(),
             end: Timestamp::DISTANT_FUTURE,
         }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -17,3 +17,4 @@
 mod slow_start_fleet;
 mod support;
 mod tenant_eviction;
+mod uptime;
