Write the log from a thread of its own, and end the process at its first panic

Cause: write_line used eprint!, which panics if a write fails. In notify_engine the panic left the queue of the engine in use for good; in the timers it ended all deadlines. A reader that stays and stops reading would block the only thread, by the same call.

Change: lines go through tracing to a queue of 256 KiB, and a thread writes them. Lines that find no room or are not taken are dropped, counted, and their number is logged once lines are taken again. At the end of the process they have 0.2 s. A panic in any task or thread is logged and ends the process with exit code 70. The adapter ignores an error of its last line. tracing-appender was not taken: at its end it prints, which may panic or wait itself.

--- a/src/bin/marlshelf-simulator-adapter/main.rs
+++ b/src/bin/marlshelf-simulator-adapter/main.rs
@@ -32,7 +32,8 @@
         // The simulator has closed the output, so it has ended and needs no error message.
         Err(AdapterError::Write(_)) => ExitCode::FAILURE,
         Err(error) => {
-            eprintln!("marlshelf-simulator-adapter: {error}");
+            // `eprintln!` would panic if the line can't be written.
+            let _ = writeln!(io::stderr(), "marlshelf-simulator-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/gateway/log.rs
+++ b/src/gateway/log.rs
@@ -4,10 +4,19 @@
 //! operators can search for and count them. The sentence describes the event and how the gateway reacts to
 //! it. Of the events about individual requests and client connections, [`TrafficEvent`], only some examples are
 //! logged for each reason.
+//!
+//! Logging never waits and never fails: [`start_output`] starts a thread that writes the lines, and lines that
+//! standard error does not take are dropped and counted.
 
 mod examples;
+mod line_queue;
+mod line_writer;
+mod output;
 mod traffic;
 
+pub use line_queue::{LineQueue, QueuedLine};
+pub use line_writer::LineWriter;
+pub use output::{flush, start as start_output};
 pub use traffic::{LoggedRequest, RequestStage, TrafficEvent};
 
 use std::error::Error;
@@ -26,6 +35,18 @@
         /// The cause, which becomes the sentence of the line.
         error: &'a dyn Error,
     },
+    /// A thread or task has panicked, and the process exits.
+    Panicked {
+        /// The place in the source.
+        location: &'a dyn Display,
+        /// The message of the panic.
+        message: &'a str,
+    },
+    /// Lines were dropped, because standard error did not take them, and it takes lines again.
+    LogLinesDropped {
+        /// The number of lines that were dropped since the previous event of this kind.
+        count: u64,
+    },
     /// A listening address is in use by another process, and the gateway retries until it is free.
     AddressInUse {
         /// What the socket is needed for, as the verb phrase after "cannot".
@@ -124,12 +145,9 @@
     }
 }
 
-/// Writes the line of an event to standard error.
+/// Hands the line of an event to the output.
 fn write_line(event: &dyn Display) {
-    // The line is formatted first and written with a single call, so lines of several processes do not
-    // interleave.
-    let line = format!("{event}\n");
-    eprint!("{line}");
+    tracing::info!("{event}");
 }
 
 impl LogEvent<'_> {
@@ -138,6 +156,8 @@
     pub fn name(&self) -> &'static str {
         match self {
             LogEvent::StartupFailed { .. } => "startup_failed",
+            LogEvent::Panicked { .. } => "panicked",
+            LogEvent::LogLinesDropped { .. } => "log_lines_dropped",
             LogEvent::AddressInUse { .. } => "address_in_use",
             LogEvent::BindDelayed { .. } => "bind_delayed",
             LogEvent::Serving { .. } => "serving",
@@ -176,6 +196,8 @@
                 last_endpoint,
                 ..
             } => write!(formatter, " count={count} last_endpoint={last_endpoint}"),
+            LogEvent::Panicked { location, .. } => write!(formatter, " location={location}"),
+            LogEvent::LogLinesDropped { count } => write!(formatter, " count={count}"),
             LogEvent::ResponsesDiscarded { count } => write!(formatter, " count={count}"),
             LogEvent::TenantsDisplaced { count, known } => {
                 write!(formatter, " count={count} known={known}")
@@ -192,6 +214,10 @@
     fn write_sentence(&self, line: &mut Formatter<'_>) -> fmt::Result {
         match self {
             LogEvent::StartupFailed { error } => write!(line, "{error}"),
+            LogEvent::Panicked { message, .. } => write!(line, "{message}; the process exits"),
+            LogEvent::LogLinesDropped { count } => {
+                write!(line, "standard error did not take {count} lines")
+            }
             LogEvent::AddressInUse {
                 purpose,
                 address,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! # Tasks
 //!
-//! All tasks run on one thread, in one `LocalSet`. These tasks run for the lifetime of the process:
+//! All tasks run on one thread, in one `LocalSet`. A second thread writes the lines of the log. These tasks run for the lifetime of the process:
 //!
 //! | task | module | job |
 //! | --- | --- | --- |
@@ -30,7 +30,7 @@
 //!
 //! `process` calls `startup`, serves until `signals` reports SIGTERM or SIGINT, and calls `shutdown`.
 //! [`bind`] retries addresses that the previous process still uses, [`configuration`] reads the
-//! configuration, and [`log`] writes the event log.
+//! configuration, and [`log`] writes the event log. A panic in any task ends the process ([`exit_on_panic`]).
 //!
 //! # Races
 //!
@@ -77,6 +77,7 @@
 pub mod gossip_socket;
 pub mod log;
 pub mod memory_budget;
+mod panic_exit;
 mod process;
 pub mod resp;
 mod shutdown;
@@ -84,5 +85,6 @@
 mod startup;
 mod startup_error;
 
+pub use panic_exit::{PANIC_EXIT_CODE, exit_on_panic};
 pub use process::run;
 pub use startup_error::StartupError;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -22,9 +22,18 @@
 
 /// Returns the configuration of a fleet with a single gateway.
 pub fn test_configuration(address: SocketAddr) -> Configuration {
+    configuration_of_fleet(1, address)
+}
+
+/// Returns the configuration of gateway 0 in a fleet of two, which share quotas.
+pub fn configuration_with_peer(address: SocketAddr) -> Configuration {
+    configuration_of_fleet(2, address)
+}
+
+fn configuration_of_fleet(gateways: u32, address: SocketAddr) -> Configuration {
     let document: SettingsDocument = serde_json::from_value(serde_json::json!({
-        "Balancers": 1,
-        "Bounds": {"ConnectTimeout": 5000.0},
+        "Balancers": gateways,
+        "Bounds": {"ConnectTimeout": 5000.0, "Peers": gateways > 1},
         "Classes": [
             {"Name": "pay", "Target": 8000.0, "Effect": "once", "Worth": 1.0},
             {"Name": "order", "Target": 8000.0, "Effect": "by_key", "Window": 60_000.0, "Worth": 1.0},
@@ -116,10 +125,20 @@
 pub async fn client_with_command(
     gateway: &EventLoopHandle,
     command: Vec<u8>,
+) -> (Rc<ClientConnections>, TcpStream) {
+    let configuration = test_configuration(SocketAddr::from(([127, 0, 0, 1], 0)));
+    client_with_configuration(gateway, &configuration, command).await
+}
+
+/// Connects a client of a gateway with this configuration, as [`client_with_command`] does.
+pub async fn client_with_configuration(
+    gateway: &EventLoopHandle,
+    configuration: &Configuration,
+    command: Vec<u8>,
 ) -> (Rc<ClientConnections>, TcpStream) {
     let (socket, address) = bind_any().await;
     let clients = ClientConnections::new(8, 1 << 20);
-    let schema = RequestSchema::new(&test_configuration(address).document);
+    let schema = RequestSchema::new(&configuration.document);
     let listener = ClientListener::new(clients.clone(), gateway.clone(), schema);
     tokio::task::spawn_local(async move { listener.accept(&socket).await });
     let mut client = TcpStream::connect(address).await.expect("a connection");
@@ -134,6 +153,15 @@
     request_command_with_deadline(class, id, body_length, 8000)
 }
 
+/// Returns a command of a tenant whose quota belongs to gateway 1.
+pub fn request_command_owned_by_peer(class: &str, id: &str) -> Vec<u8> {
+    request_command_with_fields(
+        id,
+        4,
+        &format!("c={class},t=p,d=8000,k=1,units=1,spread=1,first=1"),
+    )
+}
+
 pub fn request_command_with_deadline(
     class: &str,
     id: &str,
@@ -141,8 +169,12 @@
     deadline_ms: u64,
 ) -> Vec<u8> {
     let fields = format!("c={class},t=p,d={deadline_ms},k=1,units=1,spread=1,first=0");
+    request_command_with_fields(id, body_length, &fields)
+}
+
+fn request_command_with_fields(id: &str, body_length: usize, fields: &str) -> Vec<u8> {
     let mut command = b"*5\r\n".to_vec();
-    for part in ["Q.DO", "00000000b4d65521", id, &fields] {
+    for part in ["Q.DO", "00000000b4d65521", id, fields] {
         resp::put_bulk(&mut command, part.as_bytes());
     }
     resp::put_bulk(&mut command, &vec![b'x'; body_length]);
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -18,6 +18,7 @@
 mod floods;
 mod gossip;
 mod graceful_shutdown;
+mod log_output;
 mod readiness;
 mod resource_limits;
 mod serving;
