Never close a client connection over a command that was read in part

Cause: eviction chose the connection without a pending request that had been without a complete command for longest; a half-read command changed neither, and the close it requested did not wait for the rest, as that of the shutdown did.

Change: one function says when a connection is between requests, and one close serves eviction, idle timeout and shutdown. If no connection is between requests, those that have waited longest for the rest of their first command get an error line, an eighth of the table at once.

Evidence: connection_that_has_received_a_part_of_a_command_is_not_evicted and its neighbour failed before.

--- a/src/gateway/clients/close_reason.rs
+++ b/src/gateway/clients/close_reason.rs
@@ -48,6 +48,7 @@
 fn rejection_name(error: ConnectionError) -> &'static str {
     match error {
         ConnectionError::OutOfMemory => "input_out_of_memory",
+        ConnectionError::TableFull => "table_full",
         ConnectionError::RequestTimeout => "request_timeout",
         ConnectionError::Protocol(error) => match error {
             ProtocolError::MissingCarriageReturn => "missing_carriage_return",
--- a/src/gateway/clients/connection.rs
+++ b/src/gateway/clients/connection.rs
@@ -1,7 +1,7 @@
 //! A client connection: combines the socket, the response queue and the connection state.
 
 use super::close_reason::OutputFailure;
-use super::connection_state::{AwaitedEvent, CloseWhen, ConnectionState, ConnectionStep};
+use super::connection_state::{AwaitedEvent, ConnectionState, ConnectionStep};
 use super::response_memory::ConnectionMemory;
 use super::responses::Responses;
 use super::socket::{ClientSocket, ReadOutcome};
@@ -36,18 +36,18 @@
 }
 
 impl ClientConnection {
-    /// Creates a connection from an accepted socket. `close_condition` is set if all connections are
+    /// Creates a connection from an accepted socket. `is_close_requested` is set if all connections are
     /// being closed.
     pub(super) fn new(
         stream: TcpStream,
-        close_condition: Option<CloseWhen>,
+        is_close_requested: bool,
         input_memory: MemoryReservation,
         response_memory: ConnectionMemory,
     ) -> ClientConnection {
         ClientConnection {
             accepted_at: Instant::now(),
             socket: ClientSocket::new(stream),
-            state: RefCell::new(ConnectionState::new(close_condition)),
+            state: RefCell::new(ConnectionState::new(is_close_requested)),
             responses: RefCell::new(Responses::new(response_memory)),
             wake: Notify::new(),
             input_memory,
@@ -136,6 +136,12 @@
         self.responses.borrow().is_idle()
     }
 
+    /// Whether the connection may be closed without a loss for its client: it is idle, and no part of a
+    /// command has been read.
+    pub(super) fn is_between_requests(&self) -> bool {
+        self.is_idle() && self.state.borrow().is_between_commands()
+    }
+
     // Input.
 
     /// Reads the available input into `received`, up to a limit, and records the end of the input.
@@ -202,9 +208,21 @@
 
     // Closing and timeouts.
 
-    /// Requests that the connection be closed under a condition, and wakes the task.
-    pub(super) fn request_close(&self, condition: CloseWhen) {
-        self.state.borrow_mut().request_close(condition);
+    /// Requests that the connection be closed once it is between requests, and wakes the task.
+    pub(super) fn request_close(&self) {
+        self.state.borrow_mut().request_close();
+        self.wake.notify_one();
+    }
+
+    /// Whether a part of the connection's first command has been received.
+    pub(super) fn is_receiving_first_command(&self) -> bool {
+        self.state.borrow().is_receiving_first_command()
+    }
+
+    /// Answers the command of which a part has been received with an error, and wakes the task to close the
+    /// connection.
+    pub(super) fn give_up_command(&self) {
+        self.state.borrow_mut().give_up_command();
         self.wake.notify_one();
     }
 
--- a/src/gateway/clients/connection_error.rs
+++ b/src/gateway/clients/connection_error.rs
@@ -15,6 +15,9 @@
     /// The partially received commands of all connections exceed their shared memory budget.
     #[error("no room for so long a command now")]
     OutOfMemory,
+    /// The connection table is full, and the connection has not sent a complete command yet.
+    #[error("no room for an incomplete first command now")]
+    TableFull,
     /// No complete command arrived within [`REQUEST_TIMEOUT`](super::REQUEST_TIMEOUT).
     #[error("no whole command in time")]
     RequestTimeout,
--- a/src/gateway/clients/connection_state.rs
+++ b/src/gateway/clients/connection_state.rs
@@ -5,12 +5,12 @@
 //!
 //! Input, [`InputState`]:
 //!
-//! | state | partial command | complete command | end of input | timeout check while idle |
-//! | --- | --- | --- | --- | --- |
-//! | `BetweenCommands` | `ReceivingCommand` | unchanged | `Ended` | `TimedOut` or close, see `expire` |
-//! | `ReceivingCommand` | unchanged | `BetweenCommands` | `Ended` | `TimedOut` if the command is late |
-//! | `TimedOut` | unchanged | `BetweenCommands` | `Ended` | unchanged |
-//! | `Ended` | unchanged | unchanged | unchanged | unchanged |
+//! | state | partial command | complete command | end of input | timeout check while idle | eviction |
+//! | --- | --- | --- | --- | --- | --- |
+//! | `BetweenCommands` | `ReceivingCommand` | unchanged | `Ended` | `GivenUp` or close, see `expire` | close |
+//! | `ReceivingCommand` | unchanged | `BetweenCommands` | `Ended` | `GivenUp` if the command is late | `GivenUp` if it is the first command |
+//! | `GivenUp` | unchanged | `BetweenCommands` | `Ended` | unchanged | unchanged |
+//! | `Ended` | unchanged | unchanged | unchanged | unchanged | unchanged |
 //!
 //! Output, [`OutputState`]:
 //!
@@ -22,35 +22,30 @@
 //!
 //! Next step of the task. "Idle" means that every request is answered and every response is delivered:
 //!
-//! | input | output | close condition | next step |
+//! | input | output | close requested | next step |
 //! | --- | --- | --- | --- |
 //! | any | `Failed` | any | end the task |
 //! | `Ended` | not `Failed` | any | process the commands received before the end, then end the task |
-//! | `TimedOut` | idle | any | [`ConnectionStep::RejectLateCommand`] |
-//! | any other | idle | [`CloseWhen::NoPendingRequest`] | [`ConnectionStep::Close`] |
-//! | `BetweenCommands` | idle | [`CloseWhen::NoPartialCommand`] | [`ConnectionStep::Close`] |
+//! | `GivenUp` | idle | any | [`ConnectionStep::Reject`] |
+//! | `BetweenCommands` | idle | yes | [`ConnectionStep::Close`] |
 //! | otherwise | | | [`ConnectionStep::Wait`] |
+//!
+//! So a client whose command was read in part always gets an answer: to the command, or an error if its rest
+//! does not come.
 
 use super::close_reason::OutputFailure;
 use super::connection::REQUEST_TIMEOUT;
+use super::connection_error::ConnectionError;
 use std::time::{Duration, Instant};
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) enum CloseWhen {
-    /// Every request is answered and its response delivered.
-    NoPendingRequest,
-    /// Every request is answered and its response delivered, and no partial command has been received.
-    NoPartialCommand,
-}
-
 /// What the connection task does once it has processed all the input that it may process for now.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum ConnectionStep {
     /// Wait for input, for a response, or for the socket to become writable.
     Wait,
     Close,
-    /// Send the client a timeout error and close the connection.
-    RejectLateCommand,
+    /// Send the client an error and close the connection.
+    Reject(ConnectionError),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -68,8 +63,8 @@
     BetweenCommands,
     /// Part of a command, whose first byte arrived at `since`.
     ReceivingCommand { since: Instant },
-    /// No complete command arrived within [`REQUEST_TIMEOUT`].
-    TimedOut,
+    /// The rest of a command is not waited for any longer.
+    GivenUp { error: ConnectionError },
     /// The end of the input was read: the client has disconnected.
     Ended,
 }
@@ -77,8 +72,8 @@
 /// State of a connection, except for its output.
 pub(super) struct ConnectionState {
     input: InputState,
-    /// When to close the connection; `None` while no close is requested.
-    close_condition: Option<CloseWhen>,
+    /// Whether to close the connection as soon as it is between requests.
+    is_close_requested: bool,
     /// Whether the client has sent at least one complete command.
     has_sent_command: bool,
     /// Time of the last command or response, or of the accept if there was none.
@@ -87,12 +82,12 @@
 }
 
 impl ConnectionState {
-    /// Creates the state of a newly accepted connection. `close_condition` is set if all connections are
+    /// Creates the state of a newly accepted connection. `is_close_requested` is set if all connections are
     /// being closed.
-    pub(super) fn new(close_condition: Option<CloseWhen>) -> ConnectionState {
+    pub(super) fn new(is_close_requested: bool) -> ConnectionState {
         ConnectionState {
             input: InputState::BetweenCommands,
-            close_condition,
+            is_close_requested,
             has_sent_command: false,
             last_active: Instant::now(),
             awaited: AwaitedEvent::Input,
@@ -141,12 +136,20 @@
         self.input = InputState::Ended;
     }
 
-    /// Requests that the connection be closed under a condition. Replaces an earlier condition.
+    /// Requests that the connection be closed once it is between requests.
     ///
-    /// Received requests are answered before the close. At shutdown this also covers a request of which
-    /// only a part has been received (test `partial_command_at_shutdown_is_completed_and_answered`).
-    pub(super) fn request_close(&mut self, condition: CloseWhen) {
-        self.close_condition = Some(condition);
+    /// Received requests are answered before the close, and so is a request of which only a part has been
+    /// received (tests `partial_command_at_shutdown_is_completed_and_answered`,
+    /// `connection_that_has_received_a_part_of_a_command_is_not_evicted`).
+    pub(super) fn request_close(&mut self) {
+        self.is_close_requested = true;
+    }
+
+    /// Stops waiting for the rest of a command, to make room for other connections.
+    pub(super) fn give_up_command(&mut self) {
+        self.input = InputState::GivenUp {
+            error: ConnectionError::TableFull,
+        };
     }
 
     /// Applies the timeouts to an idle connection: every request is answered and every response
@@ -165,15 +168,17 @@
             InputState::ReceivingCommand { since } => {
                 is_first_command_late || exceeds(since, REQUEST_TIMEOUT)
             }
-            InputState::TimedOut => true,
+            InputState::GivenUp { .. } => true,
             InputState::Ended => return false,
         };
         let is_idle_too_long =
             self.input == InputState::BetweenCommands && exceeds(self.last_active, idle_timeout);
         if is_command_late {
-            self.input = InputState::TimedOut;
+            self.input = InputState::GivenUp {
+                error: ConnectionError::RequestTimeout,
+            };
         } else if is_idle_too_long {
-            self.request_close(CloseWhen::NoPendingRequest);
+            self.request_close();
         }
         is_command_late || is_idle_too_long
     }
@@ -189,21 +194,30 @@
     ///
     /// The caller must check the socket for unread input before it closes the connection.
     pub(super) fn next_step(&self, is_idle: bool) -> ConnectionStep {
-        let is_between_commands = self.input == InputState::BetweenCommands;
-        match (self.input, self.close_condition) {
+        match self.input {
             _ if !is_idle => ConnectionStep::Wait,
-            (InputState::TimedOut, _) => ConnectionStep::RejectLateCommand,
-            (InputState::Ended, _) | (_, None) => ConnectionStep::Wait,
-            (_, Some(CloseWhen::NoPendingRequest)) => ConnectionStep::Close,
-            (_, Some(CloseWhen::NoPartialCommand)) if is_between_commands => ConnectionStep::Close,
-            (_, Some(CloseWhen::NoPartialCommand)) => ConnectionStep::Wait,
+            InputState::GivenUp { error } => ConnectionStep::Reject(error),
+            InputState::BetweenCommands if self.is_close_requested => ConnectionStep::Close,
+            InputState::BetweenCommands
+            | InputState::ReceivingCommand { .. }
+            | InputState::Ended => ConnectionStep::Wait,
         }
     }
 
+    /// Whether a part of the connection's first command has been received.
+    pub(super) fn is_receiving_first_command(&self) -> bool {
+        !self.has_sent_command && matches!(self.input, InputState::ReceivingCommand { .. })
+    }
+
+    /// Whether no part of a command has been received since the last complete one.
+    pub(super) fn is_between_commands(&self) -> bool {
+        self.input == InputState::BetweenCommands
+    }
+
     /// Whether the gateway will close the connection. False after the end of the input, when an orderly
     /// close is no longer possible.
     pub(super) fn is_closing(&self) -> bool {
-        self.close_condition.is_some() && !self.has_input_ended()
+        self.is_close_requested && !self.has_input_ended()
     }
 
     pub(super) fn has_input_ended(&self) -> bool {
--- a/src/gateway/clients/connections.rs
+++ b/src/gateway/clients/connections.rs
@@ -1,7 +1,6 @@
-//! Table of all client connections: its size limit, eviction of idle connections, and timeouts.
+//! Table of all client connections: its size limit, eviction, and timeouts.
 
 use super::connection::ClientConnection;
-use super::connection_state::CloseWhen;
 use super::pace::{CommandPace, TotalPace};
 use super::response_memory::ResponseMemory;
 use crate::RequestId;
@@ -24,15 +23,20 @@
 /// The most that each connection may use for its input, and again for its responses, even if the memory
 /// budgets are exhausted.
 const MAX_ALWAYS_ALLOWED_BYTES: usize = 16 * 1024;
+/// The fraction of the table that is given up at once, as a divisor, if all connections hold commands. Each of
+/// them keeps its place for a moment, so that its client can read the error.
+const GIVEN_UP_DIVISOR: usize = 8;
 /// Interval between timeout checks.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Minimum time between two log lines about discarded responses.
 const DISCARD_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
+type ConnectionTable = HashMap<RequestId, Rc<ClientConnection>>;
+
 /// The table of all client connections. It bounds their number and their memory.
 pub struct ClientConnections {
-    table: RefCell<HashMap<RequestId, Rc<ClientConnection>>>,
+    table: RefCell<ConnectionTable>,
     max_connections: usize,
     closed: Notify,
     /// Whether all connections are being closed, including newly accepted ones.
@@ -124,35 +128,53 @@
         self.closed.notified().await;
     }
 
-    /// Closes all current and future connections, each as soon as its requests are answered and it holds
-    /// no partial command.
+    /// Closes all current and future connections, each as soon as it is between requests.
     pub fn close_when_idle(&self) {
         self.is_closing.set(true);
         for connection in self.table.borrow().values() {
-            connection.request_close(CloseWhen::NoPartialCommand);
+            connection.request_close();
         }
     }
 
-    /// Closes the connection that has been idle longest. If connections that never sent a command occupy
-    /// more than half of the table, they are evicted first. A smaller number may be connection pools that
-    /// clients opened in advance.
-    pub(super) fn evict_idle(&self) {
+    /// Makes room in the table: closes the connection that has been between requests longest. If there is
+    /// none, answers some of the first commands that have been received for longest with an error. Later commands of which a part has
+    /// been received are completed or end at the request timeout.
+    pub(super) fn evict(&self) {
         let table = self.table.borrow();
+        if let Some(connection) = self.longest_between_requests(&table) {
+            connection.request_close();
+            return;
+        }
+        let mut receiving: Vec<_> = table
+            .values()
+            .filter(|connection| connection.is_receiving_first_command())
+            .collect();
+        receiving.sort_by_key(|connection| connection.last_active());
+        let batch = self.max_connections.div_ceil(GIVEN_UP_DIVISOR);
+        for connection in receiving.into_iter().take(batch) {
+            connection.give_up_command();
+        }
+    }
+
+    /// Returns the connection that has been between requests longest and is not closing yet. If connections
+    /// that never sent a command occupy more than half of the table, they come first. A smaller number may
+    /// be connection pools that clients opened in advance.
+    fn longest_between_requests<'a>(
+        &self,
+        table: &'a ConnectionTable,
+    ) -> Option<&'a Rc<ClientConnection>> {
         let without_command = table
             .values()
             .filter(|connection| !connection.has_sent_command())
             .count();
         let is_flood = without_command > self.max_connections / 2;
-        let longest_idle = table
+        table
             .values()
-            .filter(|connection| !connection.is_closing() && connection.is_idle())
+            .filter(|connection| !connection.is_closing() && connection.is_between_requests())
             .min_by_key(|connection| {
                 let is_protected = is_flood && connection.has_sent_command();
                 (is_protected, connection.last_active())
-            });
-        if let Some(connection) = longest_idle {
-            connection.request_close(CloseWhen::NoPendingRequest);
-        }
+            })
     }
 
     /// Returns the pace of a new connection.
@@ -161,10 +183,9 @@
     }
 
     pub(super) fn register(self: &Rc<Self>, id: RequestId, stream: TcpStream) -> Registration {
-        let close_condition = self.is_closing.get().then_some(CloseWhen::NoPartialCommand);
         let connection = Rc::new(ClientConnection::new(
             stream,
-            close_condition,
+            self.is_closing.get(),
             self.input_budget.reservation(),
             self.response_memory.connection(),
         ));
--- a/src/gateway/clients/listener.rs
+++ b/src/gateway/clients/listener.rs
@@ -44,13 +44,13 @@
         }
     }
 
-    /// Accepts connections until the future is dropped. Evicts an idle connection when the table is full
+    /// Accepts connections until the future is dropped. Evicts a connection when the table is full
     /// or the listening socket returns an error.
     pub async fn accept(&self, socket: &TcpListener) {
         let mut is_failing = false;
         loop {
             while self.connections.is_full() {
-                self.connections.evict_idle();
+                self.connections.evict();
                 self.wait_for_capacity().await;
             }
             match socket.accept().await {
@@ -66,7 +66,7 @@
                     is_failing = true;
                     // The most likely cause is a lack of file descriptors. Closing a connection frees
                     // one.
-                    self.connections.evict_idle();
+                    self.connections.evict();
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
--- a/src/gateway/clients/serve.rs
+++ b/src/gateway/clients/serve.rs
@@ -112,7 +112,7 @@
                 return Err(ConnectionError::OutOfMemory);
             }
             match self.connection.next_step() {
-                ConnectionStep::RejectLateCommand => return Err(ConnectionError::RequestTimeout),
+                ConnectionStep::Reject(error) => return Err(error),
                 ConnectionStep::Close => return Ok(CloseReason::Idle),
                 ConnectionStep::Wait => {
                     if self.wait().await.is_break() {
--- a/tests/gateway/client_connections.rs
+++ b/tests/gateway/client_connections.rs
@@ -5,8 +5,6 @@
 use crate::support::*;
 use marlshelf::gateway::clients::REQUEST_TIMEOUT;
 use std::time::{Duration, Instant};
-use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 #[test]
 fn command_that_arrived_before_its_connection_is_closed_is_answered() {
@@ -60,14 +58,7 @@
         let mut partial = listener.connect_and_ping().await;
         send(&mut partial, &PING[..9]).await;
         let mut idle = listener.connect_and_ping().await;
-        // Repeated, because the timeout of a partial command starts when the gateway reads its first byte.
-        let connections = listener.connections.clone();
-        spawn_local(async move {
-            loop {
-                connections.expire(Instant::now() + REQUEST_TIMEOUT * 2);
-                sleep(Duration::from_millis(5)).await;
-            }
-        });
+        listener.expire_repeatedly_after(REQUEST_TIMEOUT * 2);
         let expected = "-ERR protocol error: no whole command in time\r\n";
         assert_eq!(read_to_end(&mut silent).await, expected);
         assert_eq!(read_to_end(&mut partial).await, expected);
@@ -79,6 +70,79 @@
     });
 }
 
+/// Guards against requests that are lost although their first half was read: their connections had been idle
+/// the longest.
+#[test]
+fn connection_that_has_received_a_part_of_a_command_is_not_evicted() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut partial = listener.connect_and_ping().await;
+        send(&mut partial, &PING[..9]).await;
+        // The last of these fills the table, which evicts a connection to make room for the next one.
+        let mut idle = Vec::new();
+        while idle.len() + 1 < MAX_CONNECTIONS {
+            idle.push(listener.connect_and_ping().await);
+        }
+        assert_eq!(
+            read_to_end(&mut idle[0]).await,
+            "",
+            "the connection that has been idle longest is evicted"
+        );
+        assert_eq!(exchange(&mut partial, &PING[9..]).await, "+PONG");
+        assert_eq!(
+            exchange(&mut partial, PING).await,
+            "+PONG",
+            "the connection stays open"
+        );
+    });
+}
+
+#[test]
+fn later_commands_received_in_part_are_not_evicted_and_end_at_the_request_timeout() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut partial = Vec::new();
+        while partial.len() + 1 < MAX_CONNECTIONS {
+            let mut client = listener.connect_and_ping().await;
+            send(&mut client, &PING[..9]).await;
+            partial.push(client);
+        }
+        let mut newest = listener.connect().await;
+        assert_eq!(
+            read_to_end(&mut newest).await,
+            "",
+            "the only connection between requests is evicted"
+        );
+        listener.expire_repeatedly_after(REQUEST_TIMEOUT * 2);
+        for client in &mut partial {
+            let expected = "-ERR protocol error: no whole command in time\r\n";
+            assert_eq!(read_to_end(client).await, expected);
+        }
+    });
+}
+
+/// Guards against a crowd that keeps usual clients out: connections that begin a command and leave it at that.
+#[test]
+fn first_commands_received_in_part_are_answered_with_an_error_if_no_other_connection_can_be_evicted()
+ {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut partial = Vec::new();
+        for _ in 0..MAX_CONNECTIONS {
+            let mut client = listener.connect().await;
+            send(&mut client, &PING[..9]).await;
+            partial.push(client);
+        }
+        assert_eq!(
+            read_to_end(&mut partial[0]).await,
+            "-ERR protocol error: no room for an incomplete first command now\r\n",
+            "the longest received command is given up"
+        );
+        let mut client = partial.remove(1);
+        assert_eq!(exchange(&mut client, &PING[9..]).await, "+PONG");
+    });
+}
+
 #[test]
 fn idle_connections_are_closed_after_two_seconds_while_the_table_is_over_half_full() {
     /// The gateway's idle timeout while more than half of the eight table entries are in use.
--- a/tests/gateway/client_listener.rs
+++ b/tests/gateway/client_listener.rs
@@ -10,11 +10,11 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// A valid tenant key, also usable as a request id.
 pub const TENANT: &str = "00000000b4d65521";
@@ -87,6 +87,9 @@
     }
 }
 
+/// Size of the connection table of a [`ListenerFixture`].
+pub const MAX_CONNECTIONS: usize = 8;
+
 /// A client listener with its connection table and handler.
 pub struct ListenerFixture {
     address: SocketAddr,
@@ -104,7 +107,7 @@
     pub async fn with_memory(memory: usize) -> ListenerFixture {
         let socket = TcpListener::bind(ANY_PORT).await.expect("a free port");
         let address = socket.local_addr().expect("a local address");
-        let connections = ClientConnections::new(8, memory);
+        let connections = ClientConnections::new(MAX_CONNECTIONS, memory);
         let handler = Rc::new(StubHandler::default());
         let schema = RequestSchema::new(&settings());
         let listener = ClientListener::new(connections.clone(), handler.clone(), schema);
@@ -129,6 +132,18 @@
         client
     }
 
+    /// Checks the timeouts again and again, as if this much time had passed since now. A single check is not
+    /// enough, because the timeout of a partial command starts when the gateway reads its first byte.
+    pub fn expire_repeatedly_after(&self, elapsed: Duration) {
+        let connections = self.connections.clone();
+        spawn_local(async move {
+            loop {
+                connections.expire(Instant::now() + elapsed);
+                sleep(Duration::from_millis(5)).await;
+            }
+        });
+    }
+
     /// Lets the tasks of all connections run until they wait for something.
     pub async fn settle(&self) {
         let mut other = self.connect().await;
