Keep an overdue call to discovery open beside the next one, so that a slow one is heard

Cause: each call was given up before its answer, and the next one got no more time; and a reload closed the call under way and the open watch, also with the same address.

Change: an overdue call stays open, and the next one starts beside it when it started before. The first to deliver something is used, the others are closed, and what an earlier call delivers after a later one is ignored. At most eight are open, and the oldest is never closed for a newer one. A reload with the same address changes nothing. The watcher is split: watcher.rs starts calls, call.rs runs one, update_sink.rs receives.

Evidence: tests/gateway/slow_discovery.rs (answers after 0 to 5.9 s, agent and service, with and without a list and reloads; beyond 6 s too) failed before, all three tests: gateways are never notified.

--- a/src/gateway/discovery/mod.rs
+++ b/src/gateway/discovery/mod.rs
@@ -1,28 +1,32 @@
 //! The discovery client, which keeps the endpoint list up to date.
 //!
 //! Discovery is an HTTP service, or an agent on the gateway's machine that speaks the same protocol.
-//! [`follow`] runs for the lifetime of the process. On each connection it first fetches a snapshot, unless it
-//! already has a list, and then opens a watch: an endless response that streams updates, with an empty line
-//! every 2 s as a keep-alive. When a watch ends, breaks or falls silent, the client reconnects after a delay
-//! chosen by [`PollSchedule`].
+//! [`follow`] runs for the lifetime of the process. Each call first fetches a snapshot, unless there is already
+//! a list, and then opens a watch: an endless response that streams updates, with an empty line every 2 s as a
+//! keep-alive. When a watch ends, breaks or falls silent, another call starts after a delay chosen by
+//! [`PollSchedule`]. A call that discovery has not answered in time stays open beside the next one.
 //!
 //! After any failure, an update must arrive within 6 s of the time at which discovery has it and is
-//! reachable. The deadlines in `transport`, `watcher` and `schedule` add up to this limit.
+//! reachable. The time limits in `call`, `watcher` and `schedule` add up to this limit.
 //!
 //! | module | job |
 //! | --- | --- |
-//! | `watcher` | runs the loop of snapshot, watch and reconnect |
-//! | `transport` | opens connections and makes HTTP calls, each with a deadline |
+//! | `watcher` | starts calls until one of them watches |
+//! | `call` | fetches the list on one connection and watches it |
+//! | `update_sink` | passes on what the calls deliver, if it is not older than what is in use |
+//! | `transport` | opens connections and makes HTTP requests |
 //! | `frames` | decodes the byte stream of a watch into frames |
 //! | `document` | parses the JSON form of an endpoint list |
 //! | `schedule` | computes the delay before each call |
 //! | `error` | defines the errors of a call |
 
+mod call;
 mod document;
 mod error;
 mod frames;
 mod schedule;
 mod transport;
+mod update_sink;
 mod watcher;
 
 pub use document::DocumentError;
@@ -30,6 +34,7 @@
 pub use frames::{Frame, FrameDecoder, FrameError};
 pub use schedule::PollSchedule;
 pub use transport::{Connect, Tcp};
+use update_sink::UpdateSink;
 pub use watcher::follow;
 
 use crate::{EndpointState, Timestamp};
--- a/src/gateway/discovery/transport.rs
+++ b/src/gateway/discovery/transport.rs
@@ -1,4 +1,4 @@
-//! Connections to discovery and HTTP calls on them, with a deadline for each step.
+//! Connections to discovery and HTTP requests on them, without time limits.
 
 use super::document::MAX_DOCUMENT_BYTES;
 use super::{DiscoveryCallStep, DiscoveryError};
@@ -13,14 +13,13 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, timeout_at};
 
 /// A transport on which to connect to discovery. Tests replace TCP with streams inside the process.
 pub trait Connect {
     /// The byte stream of an open connection.
     type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
 
-    /// Opens a connection. Implementations need no timeout, because the caller applies one.
+    /// Opens a connection. Implementations need no timeout, because the caller tries again in time.
     fn connect(&self, address: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
@@ -47,17 +46,14 @@
 }
 
 impl HttpConnection {
-    /// Connects to `address` and performs the HTTP handshake by the deadline.
+    /// Connects to `address` and performs the HTTP handshake.
     pub(super) async fn open<C: Connect>(
         connector: &C,
         address: SocketAddr,
-        deadline: Instant,
     ) -> Result<HttpConnection, DiscoveryError> {
-        let connecting = connector.connect(address);
-        let stream = with_deadline(deadline, DiscoveryCallStep::Connect, connecting).await?;
-        let handshaking = handshake(TokioIo::new(stream));
-        let (sender, connection) =
-            with_deadline(deadline, DiscoveryCallStep::Connect, handshaking).await?;
+        let step = DiscoveryCallStep::Connect;
+        let stream = complete(step.clone(), connector.connect(address)).await?;
+        let (sender, connection) = complete(step, handshake(TokioIo::new(stream))).await?;
         let mut driver = JoinSet::new();
         driver.spawn_local(async move {
             // The pending call on the connection reports the same error.
@@ -70,12 +66,8 @@
         })
     }
 
-    /// Sends a GET request, waits for the response head until the deadline, and returns the unread body.
-    pub(super) async fn get(
-        &mut self,
-        path: &str,
-        deadline: Instant,
-    ) -> Result<Incoming, DiscoveryError> {
+    /// Sends a GET request, waits for the response head, and returns the unread body.
+    pub(super) async fn get(&mut self, path: &str) -> Result<Incoming, DiscoveryError> {
         let step = DiscoveryCallStep::Request(path.to_string());
         let request = Request::get(path)
             .header("host", self.address.to_string())
@@ -84,7 +76,7 @@
                 step: step.clone(),
                 source: error.into(),
             })?;
-        let response = with_deadline(deadline, step, self.sender.send_request(request)).await?;
+        let response = complete(step, self.sender.send_request(request)).await?;
         if response.status() == StatusCode::OK {
             Ok(response.into_body())
         } else {
@@ -95,42 +87,29 @@
         }
     }
 
-    /// Waits until the connection is ready for another request, but not beyond the deadline.
-    pub(super) async fn ready(&mut self, deadline: Instant) -> Result<(), DiscoveryError> {
-        with_deadline(
-            deadline,
-            DiscoveryCallStep::ReadSnapshot,
-            self.sender.ready(),
-        )
-        .await
+    /// Waits until the connection is ready for another request.
+    pub(super) async fn ready(&mut self) -> Result<(), DiscoveryError> {
+        complete(DiscoveryCallStep::ReadSnapshot, self.sender.ready()).await
     }
 }
 
-/// Reads the complete body of a snapshot by the deadline. Fails if it exceeds [`MAX_DOCUMENT_BYTES`].
-pub(super) async fn read_snapshot(
-    body: Incoming,
-    deadline: Instant,
-) -> Result<Bytes, DiscoveryError> {
+/// Reads the complete body of a snapshot. Fails if it exceeds [`MAX_DOCUMENT_BYTES`].
+pub(super) async fn read_snapshot(body: Incoming) -> Result<Bytes, DiscoveryError> {
     let reading = Limited::new(body, MAX_DOCUMENT_BYTES).collect();
-    let collected = with_deadline(deadline, DiscoveryCallStep::ReadSnapshot, reading).await?;
+    let collected = complete(DiscoveryCallStep::ReadSnapshot, reading).await?;
     Ok(collected.to_bytes())
 }
 
-/// Runs a step of a call up to its deadline, and converts its error or time-out to a [`DiscoveryError`].
-async fn with_deadline<T, E>(
-    deadline: Instant,
+/// Completes a step of a call, and converts its error to a [`DiscoveryError`].
+async fn complete<T, E>(
     step: DiscoveryCallStep,
     operation: impl Future<Output = Result<T, E>>,
 ) -> Result<T, DiscoveryError>
 where
     E: Into<Box<dyn StdError + Send + Sync>>,
 {
-    match timeout_at(deadline, operation).await {
-        Ok(Ok(value)) => Ok(value),
-        Ok(Err(error)) => Err(DiscoveryError::Failed {
-            step,
-            source: error.into(),
-        }),
-        Err(_) => Err(DiscoveryError::TimedOut(step)),
-    }
+    operation.await.map_err(|error| DiscoveryError::Failed {
+        step,
+        source: error.into(),
+    })
 }
--- a/src/gateway/discovery/watcher.rs
+++ b/src/gateway/discovery/watcher.rs
@@ -1,38 +1,27 @@
-//! Follows the endpoint list: fetches a snapshot, opens a watch, and reconnects on failure.
+//! Follows the endpoint list: keeps a call to discovery open that watches it, and starts others while there is
+//! none.
 
-use super::transport::{HttpConnection, read_snapshot};
-use super::{
-    Connect, DiscoveryCallStep, DiscoveryError, EndpointUpdate, Frame, FrameDecoder, PollSchedule,
-};
+use super::call::{Call, CallNumber, CallProgress};
+use super::{Connect, DiscoveryError, EndpointUpdate, PollSchedule, UpdateSink};
 use crate::gateway::log::{self, LogEvent};
-use http_body_util::BodyExt;
-use hyper::body::Bytes;
-use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
-
-const LIST_PATH: &str = "/v1/servers";
-
-/// Timeout for a connect, needed because an unreachable machine does not answer at all.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// The complete snapshot must arrive within `SNAPSHOT_TIMEOUT` of the start of the call, or within
-/// `SNAPSHOT_BODY_TIMEOUT` of the response head, whichever is later. If a call hangs, the next call is then
-/// answered within 6 s of the time at which discovery is reachable again.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(3);
-const SNAPSHOT_BODY_TIMEOUT: Duration = Duration::from_secs(1);
-/// The maximum time between frames of a watch, 1.5 times the keep-alive interval of 2 s. A watch that exceeds
-/// it has failed, even if TCP reports no error. An update missed by the watch must arrive within 6 s of the
-/// last keep-alive, which leaves time for the delay before the next call and, in the case of an agent, for
-/// two more calls that hang.
-const WATCH_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+use tokio::time::{Instant, sleep_until};
+
+/// Limit on calls that are open at once. With one call after each response timeout, every call but the first has
+/// 7 s or more, in which discovery may answer.
+const MAX_OPEN_CALLS: usize = 8;
 
 /// Follows discovery for the lifetime of the process and passes every snapshot and delta to `on_update`.
 ///
 /// `revision` is the revision of the list that the gateway already has; `None` if it has none. When `address`
-/// changes, the client closes its connection and fetches a snapshot from the new address, because revisions
-/// are specific to one discovery service. Returns when the sender of `address` is dropped.
+/// changes, all calls are closed and a snapshot is fetched from the new address, because revisions are
+/// specific to one discovery service. An address that is sent again changes nothing: otherwise reloads in quick
+/// succession would close each call before it is answered. Returns when the sender of `address` is dropped.
 pub async fn follow<C: Connect>(
     connector: C,
     mut on_update: impl FnMut(EndpointUpdate),
@@ -45,17 +34,19 @@
     let mut delay_first_call = revision.is_some();
     loop {
         let current_address = *address.borrow_and_update();
+        let updates = UpdateSink::new(&mut on_update, revision.take());
         let mut watcher = Watcher {
             connector: &connector,
-            on_update: &mut on_update,
+            updates: &updates,
             schedule: &mut schedule,
             address: current_address,
-            revision: revision.take(),
-            last_received_at: None,
+            calls: OpenCalls::default(),
+            next_call_at: None,
+            is_failure_logged: false,
         };
         tokio::select! {
             biased;
-            changed = address.changed() => {
+            changed = address.wait_for(|address| *address != current_address) => {
                 if changed.is_err() {
                     return;
                 }
@@ -69,125 +60,179 @@
 /// The client's state while it follows discovery at one address.
 struct Watcher<'a, C, F> {
     connector: &'a C,
-    on_update: &'a mut F,
+    updates: &'a UpdateSink<F>,
     schedule: &'a mut PollSchedule,
     address: SocketAddr,
-    /// The revision from which to continue; `None` if a snapshot must be fetched first.
-    revision: Option<u64>,
-    /// When the current connection last received an update or a keep-alive.
-    last_received_at: Option<Instant>,
+    calls: OpenCalls<'a>,
+    /// When to start another call; `None` while the newest call is not overdue.
+    next_call_at: Option<Instant>,
+    is_failure_logged: bool,
 }
 
 impl<C: Connect, F: FnMut(EndpointUpdate)> Watcher<'_, C, F> {
-    /// Connects in an endless loop, with a delay after each failure.
+    /// Runs calls in an endless loop. If the newest call fails or is overdue, another one starts after a
+    /// delay. An overdue call stays open, because a discovery that is slow may still answer it. Once a call
+    /// delivers something, the others are closed.
     async fn run(&mut self, delay_first_call: bool) {
         self.schedule.reset();
-        if delay_first_call {
-            sleep(self.schedule.initial_delay()).await;
-        }
-        let mut failure_logged = false;
+        let first_call_at = if delay_first_call {
+            Instant::now() + self.schedule.initial_delay()
+        } else {
+            Instant::now()
+        };
+        self.next_call_at = Some(first_call_at);
+        let mut last_number = CallNumber::default();
         loop {
-            let started_at = Instant::now();
-            self.last_received_at = None;
-            let Err(error) = self.run_connection(started_at).await;
-            if self.last_received_at.is_some() {
-                self.schedule.reset();
-                failure_logged = false;
+            let newest_due_at = self.calls.newest().and_then(|call| call.due_at());
+            let due_at = newest_due_at.filter(|_| self.next_call_at.is_none());
+            tokio::select! {
+                event = self.calls.next_event(self.updates) => self.handle(event),
+                () = wait_until(due_at) => self.check_overdue(),
+                () = wait_until(self.next_call_at) => {
+                    last_number.0 += 1;
+                    self.start_call(last_number);
+                }
             }
-            // Log one line per outage rather than one per failed call.
-            if !failure_logged {
-                failure_logged = true;
-                log::event(&LogEvent::DiscoveryFailed {
-                    address: self.address,
-                    error: &error,
-                });
+        }
+    }
+
+    fn start_call(&mut self, number: CallNumber) {
+        self.next_call_at = None;
+        let progress = CallProgress::start(number);
+        let call = Call {
+            connector: self.connector,
+            address: self.address,
+            updates: self.updates,
+            progress: progress.clone(),
+            response_timeout: self.schedule.response_timeout(),
+        };
+        self.calls.add(progress, Box::pin(call.run()));
+    }
+
+    fn handle(&mut self, event: CallEvent) {
+        match event {
+            CallEvent::Received => {
+                self.calls.close_all_but(self.updates.source());
+                self.next_call_at = None;
+                self.schedule.reset();
+                self.is_failure_logged = false;
             }
-            let last_contact_at = self.last_received_at.unwrap_or(started_at);
-            sleep(self.schedule.next_delay(last_contact_at.elapsed())).await;
+            CallEvent::Failed { call, error } => self.call_failed(&call, &error),
         }
     }
 
-    /// Opens a connection and uses it until it fails: fetches a snapshot if there is no revision to continue
-    /// from, and then watches.
-    async fn run_connection(&mut self, started_at: Instant) -> Result<Infallible, DiscoveryError> {
-        let connect_deadline = started_at + CONNECT_TIMEOUT;
-        let mut connection =
-            HttpConnection::open(self.connector, self.address, connect_deadline).await?;
-        if self.revision.is_none() {
-            self.fetch_snapshot(&mut connection, started_at).await?;
-            connection.ready(Instant::now() + CONNECT_TIMEOUT).await?;
+    fn check_overdue(&mut self) {
+        if let Some(call) = self.calls.newest()
+            && let Some(error) = call.overdue_error()
+        {
+            let call = call.clone();
+            self.call_failed(&call, &error);
         }
-        self.watch(&mut connection, started_at).await
     }
 
-    async fn fetch_snapshot(
-        &mut self,
-        connection: &mut HttpConnection,
-        started_at: Instant,
-    ) -> Result<(), DiscoveryError> {
-        let head_deadline = self.head_deadline(started_at);
-        let body = connection.get(LIST_PATH, head_deadline).await?;
-        let body_deadline =
-            (started_at + SNAPSHOT_TIMEOUT).max(Instant::now() + SNAPSHOT_BODY_TIMEOUT);
-        let bytes = read_snapshot(body, body_deadline).await?;
-        self.process_update(EndpointUpdate::from_json_bytes(&bytes)?);
-        Ok(())
+    /// Logs the failure of a call or of a step in time, one line for each outage, and schedules the next
+    /// call if this was the newest one.
+    fn call_failed(&mut self, call: &CallProgress, error: &DiscoveryError) {
+        if call.has_received() {
+            self.schedule.reset();
+            self.is_failure_logged = false;
+        }
+        if !self.is_failure_logged {
+            self.is_failure_logged = true;
+            let address = self.address;
+            log::event(&LogEvent::DiscoveryFailed { address, error });
+        }
+        let is_newest = self
+            .calls
+            .newest()
+            .is_none_or(|newest| newest.number <= call.number);
+        if is_newest && self.next_call_at.is_none() {
+            let elapsed = call.last_contact_at().elapsed();
+            self.next_call_at = Some(Instant::now() + self.schedule.next_delay(elapsed));
+        }
     }
+}
 
-    async fn watch(
+/// What has happened to the open calls.
+enum CallEvent {
+    /// A call has delivered an update or a keep-alive.
+    Received,
+    /// A call has failed, and is closed.
+    Failed {
+        call: Rc<CallProgress>,
+        error: DiscoveryError,
+    },
+}
+
+/// The open calls, in the order of their start.
+#[derive(Default)]
+struct OpenCalls<'a> {
+    calls: Vec<OpenCall<'a>>,
+}
+
+struct OpenCall<'a> {
+    progress: Rc<CallProgress>,
+    future: Pin<Box<dyn Future<Output = DiscoveryError> + 'a>>,
+}
+
+impl<'a> OpenCalls<'a> {
+    fn newest(&self) -> Option<&Rc<CallProgress>> {
+        self.calls.last().map(|call| &call.progress)
+    }
+
+    /// Adds a call. If there are too many, closes the second oldest one: the oldest one has all the time that
+    /// discovery may need, and the others are repeated.
+    fn add(
         &mut self,
-        connection: &mut HttpConnection,
-        started_at: Instant,
-    ) -> Result<Infallible, DiscoveryError> {
-        let path = format!("{LIST_PATH}?stream=1&index={}", self.revision.unwrap_or(0));
-        let head_deadline = self.head_deadline(self.last_received_at.unwrap_or(started_at));
-        let mut body = connection.get(&path, head_deadline).await?;
-        let mut decoder = FrameDecoder::default();
-        let mut silence_deadline = Instant::now() + WATCH_SILENCE_TIMEOUT;
-        loop {
-            let next_frame = timeout_at(silence_deadline, body.frame())
-                .await
-                .map_err(|_| DiscoveryError::WatchSilent)?
-                .ok_or(DiscoveryError::WatchEnded)?;
-            let body_frame = next_frame.map_err(|error| DiscoveryError::Failed {
-                step: DiscoveryCallStep::ReadWatch,
-                source: error.into(),
-            })?;
-            let bytes = body_frame.into_data().unwrap_or_default();
-            // Only a complete frame extends the deadline. Pieces of a line that never ends do not.
-            if self.process_bytes(&mut decoder, &bytes)? {
-                silence_deadline = Instant::now() + WATCH_SILENCE_TIMEOUT;
-            }
+        progress: Rc<CallProgress>,
+        future: Pin<Box<dyn Future<Output = DiscoveryError> + 'a>>,
+    ) {
+        if self.calls.len() >= MAX_OPEN_CALLS {
+            self.calls.remove(1);
         }
+        self.calls.push(OpenCall { progress, future });
     }
 
-    /// Processes all frames that `bytes` completes. Returns whether there was at least one.
-    fn process_bytes(
+    fn close_all_but(&mut self, number: CallNumber) {
+        self.calls.retain(|call| call.progress.number == number);
+    }
+
+    /// Runs the calls until something happens.
+    async fn next_event<F>(&mut self, updates: &UpdateSink<F>) -> CallEvent
+    where
+        F: FnMut(EndpointUpdate),
+    {
+        poll_fn(|context| self.poll_event(updates, context)).await
+    }
+
+    fn poll_event<F>(
         &mut self,
-        decoder: &mut FrameDecoder,
-        bytes: &Bytes,
-    ) -> Result<bool, DiscoveryError> {
-        let mut received_frame = false;
-        for piece in bytes.split_inclusive(|byte| *byte == b'\n') {
-            match decoder.decode(piece)? {
-                None => continue,
-                Some(Frame::KeepAlive) => self.last_received_at = Some(Instant::now()),
-                Some(Frame::Update(update)) => self.process_update(update),
+        updates: &UpdateSink<F>,
+        context: &mut Context<'_>,
+    ) -> Poll<CallEvent>
+    where
+        F: FnMut(EndpointUpdate),
+    {
+        for index in 0..self.calls.len() {
+            let polled = self.calls[index].future.as_mut().poll(context);
+            if let Poll::Ready(error) = polled {
+                // The call itself knows whether it received something before it failed.
+                updates.take_received();
+                let call = self.calls.remove(index).progress;
+                return Poll::Ready(CallEvent::Failed { call, error });
+            }
+            if updates.take_received() {
+                return Poll::Ready(CallEvent::Received);
             }
-            received_frame = true;
         }
-        Ok(received_frame)
-    }
-
-    fn process_update(&mut self, update: EndpointUpdate) {
-        self.revision = Some(update.revision);
-        self.last_received_at = Some(Instant::now());
-        (self.on_update)(update);
+        Poll::Pending
     }
+}
 
-    /// Returns the deadline for a response head: the response timeout of the discovery mode from now, but no
-    /// later than `SNAPSHOT_TIMEOUT` after `since`, even if the connection was established late.
-    fn head_deadline(&self, since: Instant) -> Instant {
-        (Instant::now() + self.schedule.response_timeout()).min(since + SNAPSHOT_TIMEOUT)
+/// Waits until a time, or forever if there is none.
+async fn wait_until(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,7 +59,7 @@
 //! | a request's deadline is later than SIGKILL | `ServicePhase::cap_deadline` | `request_that_would_outlast_the_shutdown_timeout_is_answered_before_the_exit` |
 //! | an endpoint takes over the address of another that discovery has not removed yet | `EndpointRegistry::apply` | `new_endpoint_at_a_reused_address_gets_no_connection_of_its_predecessor` |
 //! | an endpoint is reported as removed without its other fields | `EndpointUpdate::from_json` | `removed_endpoint_may_be_listed_without_its_other_fields` |
-//! | a watch falls silent or never completes a line, and the calls after it hang | `Watcher::watch` | `a_silent_watch_leaves_time_for_two_calls_that_hang`, `pieces_of_a_line_without_an_end_do_not_keep_a_watch_alive` |
+//! | a watch falls silent or never completes a line, and the calls after it hang | `Call::watch` | `a_silent_watch_leaves_time_for_two_calls_that_hang`, `pieces_of_a_line_without_an_end_do_not_keep_a_watch_alive` |
 //! | SIGTERM arrives before the first endpoint list | `run` | `sigterm_ends_a_gateway_that_waits_for_its_first_endpoint_list` |
 //! | the gateway starts while the previous process still uses an address | `bind_with_retry` | `gateway_whose_address_is_in_use_logs_it_and_is_ready_once_the_address_is_free`, `successor_started_during_a_graceful_shutdown_takes_over_and_the_predecessor_completes` |
 
--- a/src/gateway/signals.rs
+++ b/src/gateway/signals.rs
@@ -61,7 +61,6 @@
             Ok(configuration) => {
                 let discovery = configuration.discovery_address;
                 log::event(&LogEvent::ConfigurationReloaded { discovery });
-                // An unchanged address is sent too, which makes the gateway fetch the complete list again.
                 let _ = discovery_address.send(discovery);
             }
             Err(error) => log::event(&LogEvent::ConfigurationReloadFailed { error: &error }),
--- a/tests/gateway/stand_in_discovery.rs
+++ b/tests/gateway/stand_in_discovery.rs
@@ -75,6 +75,8 @@
     revision: Cell<u64>,
     /// The time that the service takes to answer a call.
     time_per_call: Duration,
+    /// The time from a call's turn to its answer, during which the service works on other calls.
+    answer_delay: Cell<Duration>,
     /// When the service will have answered all calls received so far.
     busy_until: Cell<Instant>,
     rng: RefCell<Pcg64Mcg>,
@@ -87,11 +89,24 @@
             availability: watch::channel(Availability::Up).0,
             revision: Cell::new(1),
             time_per_call,
+            answer_delay: Cell::default(),
             busy_until: Cell::new(Instant::now()),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
         })
     }
 
+    /// Creates a reachable service like [`Service::new`] that answers each call after this time.
+    pub fn with_answer_delay(seed: u64, delay: Duration) -> Rc<Service> {
+        let service = Service::new(seed, Duration::ZERO);
+        service.answer_delay.set(delay);
+        service
+    }
+
+    /// Tells all watches of a new revision of the list.
+    pub fn publish(&self, revision: u64) {
+        self.revision.set(revision);
+    }
+
     /// Starts an outage with this fault.
     pub fn fail(&self, fault: Fault) {
         self.availability.send_replace(Availability::Down(fault));
@@ -134,7 +149,7 @@
     async fn wait_for_turn(&self) {
         let done_at = self.busy_until.get().max(Instant::now()) + self.time_per_call;
         self.busy_until.set(done_at);
-        sleep_until(done_at).await;
+        sleep_until(done_at + self.answer_delay.get()).await;
     }
 
     async fn serve_connection(self: Rc<Self>, mut stream: DuplexStream) -> io::Result<()> {
