Know a tenant by its number, whichever form its clients write

Cause: ClientRequest::parse checked the tenant's number and kept its text, which selected the account and its owner.

Change: the tenant is parsed into a TenantNumber at the edge; the engine knows it by the number in lower case, so that accounts and owners of lower-case clients are as before. The command is forwarded as the client wrote it.

--- a/src/gateway/clients/mod.rs
+++ b/src/gateway/clients/mod.rs
@@ -27,7 +27,7 @@
 pub use connection::ClientConnection;
 pub use connections::{ClientConnections, REQUEST_TIMEOUT};
 pub use listener::ClientListener;
-pub use request::ClientRequest;
+pub use request::{ClientRequest, TenantNumber};
 pub use request_error::{Field, RequestError};
 pub use schema::RequestSchema;
 
--- a/src/gateway/clients/request.rs
+++ b/src/gateway/clients/request.rs
@@ -4,7 +4,7 @@
 use super::request_error::{Field, RequestError};
 use super::schema::RequestSchema;
 use crate::gateway::resp::{self, Command};
-use crate::{ClassIndex, EndpointName, IdempotencyDocument, PlanIndex, Tokens};
+use crate::{ClassIndex, IdempotencyDocument, PlanIndex, TenantName, Tokens};
 use std::ops::Range;
 use std::time::Duration;
 
@@ -29,6 +29,19 @@
 /// Length of CR LF.
 const TERMINATOR_LEN: usize = 2;
 
+/// The number of a tenant. Clients write it as hexadecimal digits in upper or lower case.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TenantNumber(u64);
+
+impl TenantNumber {
+    /// Returns the name by which the decision engine knows the tenant. It is the same for all forms in which
+    /// clients write the number.
+    #[must_use]
+    pub fn name(self) -> TenantName {
+        format!("{:0width$x}", self.0, width = HEX_DIGITS).into()
+    }
+}
+
 /// A validated request, with the original bytes of its command.
 pub struct ClientRequest {
     command: Box<[u8]>,
@@ -38,8 +51,8 @@
     fields: Range<usize>,
     /// Position of the deadline's digits in `command`.
     deadline_digits: Range<usize>,
-    /// The tenant key, as the client wrote it.
-    pub tenant: EndpointName,
+    /// The tenant that the request is charged to.
+    pub tenant: TenantNumber,
     /// The id chosen by the client. It is unique only among active requests.
     pub client_request_id: u64,
     /// The index of the class in the settings.
@@ -92,8 +105,8 @@
             fields: fields_range,
             deadline_digits: fields_start + deadline.digits.start
                 ..fields_start + deadline.digits.end,
-            tenant: tenant.text.into(),
-            client_request_id: id.number,
+            tenant,
+            client_request_id: id,
             class,
             plan: fields.plan()?,
             cost: fields.cost()?,
@@ -141,35 +154,30 @@
     Ok(())
 }
 
-fn parse_tenant<'a>(command: &'a Command) -> Result<HexNumber<'a>, RequestError> {
+fn parse_tenant(command: &Command) -> Result<TenantNumber, RequestError> {
     parse_hex(command.part(TENANT_PART))
-        .filter(|tenant| tenant.number < TENANT_LIMIT)
+        .filter(|tenant| *tenant < TENANT_LIMIT)
+        .map(TenantNumber)
         .ok_or(RequestError::InvalidTenant)
 }
 
 /// Parses the client-chosen id and rejects one that is in use by an active request.
-fn parse_unused_id<'a>(
-    command: &'a Command,
+fn parse_unused_id(
+    command: &Command,
     is_active: impl FnOnce(u64) -> bool,
-) -> Result<HexNumber<'a>, RequestError> {
+) -> Result<u64, RequestError> {
     let id = parse_hex(command.part(ID_PART)).ok_or(RequestError::InvalidId)?;
-    if is_active(id.number) {
+    if is_active(id) {
         return Err(RequestError::DuplicateId);
     }
     Ok(id)
 }
 
-/// A hexadecimal number, with its text.
-struct HexNumber<'a> {
-    text: &'a str,
-    number: u64,
-}
-
-fn parse_hex(bytes: &[u8]) -> Option<HexNumber<'_>> {
+/// Parses a hexadecimal number of fixed length, in upper or lower case.
+fn parse_hex(bytes: &[u8]) -> Option<u64> {
     if bytes.len() != HEX_DIGITS || !bytes.iter().all(u8::is_ascii_hexdigit) {
         return None;
     }
     let text = std::str::from_utf8(bytes).ok()?;
-    let number = u64::from_str_radix(text, 16).ok()?;
-    Some(HexNumber { text, number })
+    u64::from_str_radix(text, 16).ok()
 }
--- a/src/gateway/event_loop/proxied_request.rs
+++ b/src/gateway/event_loop/proxied_request.rs
@@ -54,7 +54,7 @@
         let command = &self.command;
         Request {
             id,
-            tenant: command.tenant.clone(),
+            tenant: command.tenant.name(),
             class: command.class,
             plan: command.plan,
             cost: command.cost,
--- a/tests/gateway/client_requests.rs
+++ b/tests/gateway/client_requests.rs
@@ -2,6 +2,7 @@
 
 use crate::client_listener::*;
 use crate::support::*;
+use marlshelf::gateway::resp;
 use marlshelf::{ClassIndex, PlanIndex, Tokens};
 use std::time::Duration;
 
@@ -124,7 +125,7 @@
         listener.handler.wait_for_requests(1).await;
         let received = listener.handler.received.borrow();
         let request = &received[0].request;
-        assert_eq!(&*request.tenant, TENANT);
+        assert_eq!(&*request.tenant.name(), TENANT);
         assert_eq!(request.client_request_id, 0x9b1f_03aa_5c7e_2d41);
         assert_eq!((request.class, request.plan), (ClassIndex(2), PlanIndex(0)));
         assert_eq!((request.shard_start, request.shard_size), (1, 2));
@@ -136,6 +137,33 @@
     });
 }
 
+/// Guards against a tenant with two quotas: the two forms of its number counted as two tenants.
+#[test]
+fn tenant_is_the_same_in_upper_and_lower_case_and_forwarded_as_written() {
+    run_local(async {
+        let listener = ListenerFixture::start().await;
+        let mut client = listener.connect().await;
+        let forms = [TENANT, "00000000B4D65521", "00000000b4D65521"];
+        for (id, form) in forms.iter().enumerate() {
+            let request = command(&["Q.ASK", form, &format!("{id:016x}"), VALID_FIELDS]);
+            send(&mut client, &request).await;
+        }
+        listener.handler.wait_for_requests(forms.len()).await;
+        for (received, form) in listener.handler.received.borrow().iter().zip(forms) {
+            assert_eq!(&*received.request.tenant.name(), TENANT, "{form}");
+            let mut forwarded = Vec::new();
+            let timeout = Duration::from_millis(700);
+            received
+                .request
+                .encode_for_endpoint(timeout, &mut forwarded);
+            let forwarded = resp::parse_command(&forwarded)
+                .expect("well-formed")
+                .expect("complete");
+            assert_eq!(forwarded.part(1), form.as_bytes());
+        }
+    });
+}
+
 #[test]
 fn deadline_of_the_class_limits_how_long_a_client_waits() {
     run_local(async {
--- a/tests/process/endpoint_responses.rs
+++ b/tests/process/endpoint_responses.rs
@@ -2,6 +2,22 @@
 
 use crate::support::*;
 
+/// Sends a response to a request, and expects that the request fails and the connection is closed.
+#[track_caller]
+fn expect_failure_after(response: &str, fleet: &SingleEndpoint) -> InFlightRequest {
+    let mut in_flight = fleet.start_request(write_request("pay", 5000));
+    in_flight.forwarded.send(response);
+    let reply = in_flight.client.read_reply();
+    assert_eq!(
+        reply, "-ERR failed",
+        "{response:?}: expected the request to fail"
+    );
+    in_flight
+        .forwarded
+        .expect_close("its response was malformed");
+    in_flight
+}
+
 #[test]
 fn malformed_response_fails_its_attempt_only() {
     for response in [
@@ -11,16 +27,7 @@
         "*3\r\n$1\r\nabc",
     ] {
         let fleet = SingleEndpoint::start();
-        let mut in_flight = fleet.start_request(write_request("pay", 5000));
-        in_flight.forwarded.send(response);
-        let reply = in_flight.client.read_reply();
-        assert_eq!(
-            reply, "-ERR failed",
-            "{response:?}: expected the request to fail"
-        );
-        in_flight
-            .forwarded
-            .expect_close("its response was malformed");
+        let mut in_flight = expect_failure_after(response, &fleet);
         let request = write_request("pay", 5000);
         complete_on_new_connection(&mut in_flight.client, request, &fleet.endpoint, "sound");
     }
@@ -84,16 +91,6 @@
         "*3\r\n$9\r\ngood\r\n$-1\r\n$-1\r\n*3\r\n$4\r\ngood\r\n$-1\r\n$-1\r\n",
         "*3\r\n$5\r\ngood,\r\nthen better\r\n$-1\r\n$-1\r\n",
     ] {
-        let fleet = SingleEndpoint::start();
-        let mut in_flight = fleet.start_request(write_request("pay", 5000));
-        in_flight.forwarded.send(response);
-        let reply = in_flight.client.read_reply();
-        assert_eq!(
-            reply, "-ERR failed",
-            "{response:?}: expected the request to fail"
-        );
-        in_flight
-            .forwarded
-            .expect_close("the length of its response does not fit");
+        expect_failure_after(response, &SingleEndpoint::start());
     }
 }
--- a/tests/process/serving.rs
+++ b/tests/process/serving.rs
@@ -82,6 +82,24 @@
     replies.take_while(|reply| reply == "x").count()
 }
 
+/// Guards against a tenant with two quotas, one for each form in which clients write its number.
+#[test]
+fn quota_is_shared_by_all_forms_of_a_tenant_number() {
+    let SingleEndpoint {
+        endpoint,
+        discovery: _discovery,
+        gateway,
+    } = SingleEndpoint::configured(|config| {
+        config.plan = r#""UnitsPerS":0.001,"PeakUnits":1.0"#.into();
+    });
+    answer_all_requests(endpoint, "cost=1");
+    let mut client = gateway.connect();
+    client.send(read_request_of(TENANT, 5000));
+    client.expect_reply("x");
+    client.send(read_request_of(&TENANT.to_uppercase(), 5000));
+    client.expect_reply_prefix("-BUSY");
+}
+
 /// Answers every request on every connection, with the given usage report.
 fn answer_all_requests(endpoint: StandInEndpoint, usage: &'static str) {
     std::thread::spawn(move || {
