--- a/src/gateway/clients/connections.rs
+++ b/src/gateway/clients/connections.rs
@@ -23,8 +23,8 @@
 /// The most that each connection may use for its input, and again for its responses, even if the memory
 /// budgets are exhausted.
 const MAX_ALWAYS_ALLOWED_BYTES: usize = 16 * 1024;
-/// The fraction of the table that is given up at once, as a divisor, if all connections hold commands. Each of
-/// them keeps its place for a moment, so that its client can read the error.
+/// The fraction of the table that is given up at once, as a divisor, if no connection is between requests.
+/// Each of them keeps its place for a moment, so that its client can read the error.
 const GIVEN_UP_DIVISOR: usize = 8;
 /// Interval between timeout checks.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -137,8 +137,8 @@
     }
 
     /// Makes room in the table: closes the connection that has been between requests longest. If there is
-    /// none, answers some of the first commands that have been received for longest with an error. Later commands of which a part has
-    /// been received are completed or end at the request timeout.
+    /// none, some connections that have waited longest for the rest of their first command get an error.
+    /// Later commands of which a part has been received are completed or end at the request timeout.
     pub(super) fn evict(&self) {
         let table = self.table.borrow();
         if let Some(connection) = self.longest_between_requests(&table) {
--- a/tests/gateway/slow_discovery.rs
+++ b/tests/gateway/slow_discovery.rs
@@ -86,31 +86,32 @@
     LocalSet::new().block_on(&runtime, test)
 }
 
+/// Returns all variants whose answers take less than 6 s, in steps of 0.1 s.
+fn answers_within_six_seconds() -> impl Iterator<Item = SlowDiscovery> {
+    (0..60).flat_map(|tenths| SlowDiscovery::variants(Duration::from_millis(100 * tenths)))
+}
+
 /// Guards against a discovery that is never heard: every call was given up before its answer.
 #[test]
 fn discovery_that_answers_within_six_seconds_is_heard_in_time() {
-    for tenths in 0..60 {
-        for slow in SlowDiscovery::variants(Duration::from_millis(100 * tenths)) {
-            let heard_after = in_virtual_time(slow.time_until_heard());
-            assert!(
-                heard_after <= NOTIFICATION_DEADLINE,
-                "{slow:?}: {heard_after:?}"
-            );
-        }
+    for slow in answers_within_six_seconds() {
+        let heard_after = in_virtual_time(slow.time_until_heard());
+        assert!(
+            heard_after <= NOTIFICATION_DEADLINE,
+            "{slow:?}: {heard_after:?}"
+        );
     }
 }
 
 /// Guards against changes that are missed because reloads in quick succession close each call.
 #[test]
 fn change_is_heard_in_time_by_watches_that_a_slow_discovery_has_answered() {
-    for tenths in 0..60 {
-        for slow in SlowDiscovery::variants(Duration::from_millis(100 * tenths)) {
-            let heard_after = in_virtual_time(slow.time_until_watches_hear());
-            assert!(
-                heard_after <= NOTIFICATION_DEADLINE,
-                "{slow:?}: {heard_after:?}"
-            );
-        }
+    for slow in answers_within_six_seconds() {
+        let heard_after = in_virtual_time(slow.time_until_watches_hear());
+        assert!(
+            heard_after <= NOTIFICATION_DEADLINE,
+            "{slow:?}: {heard_after:?}"
+        );
     }
 }
 
--- a/tests/process/serving.rs
+++ b/tests/process/serving.rs
@@ -62,18 +62,25 @@
     }
 }
 
-/// Sends up to ten requests that cost one token each, with a bucket of ten tokens and almost no refill. Each
-/// answer carries the given usage report. Returns the number of requests that are answered before the first
-/// rejection.
-fn answered_requests_with_usage(usage: &'static str) -> usize {
+/// Starts a gateway whose buckets hold this many tokens and are hardly refilled. Its endpoint answers each
+/// request with the given usage report. The gateway comes last, so that it is dropped before its stand-in.
+fn start_with_bucket(tokens: u32, usage: &'static str) -> (StandInDiscovery, GatewayProcess) {
     let SingleEndpoint {
         endpoint,
-        discovery: _discovery,
+        discovery,
         gateway,
     } = SingleEndpoint::configured(|config| {
-        config.plan = r#""UnitsPerS":0.001,"PeakUnits":10.0"#.into();
+        config.plan = format!(r#""UnitsPerS":0.001,"PeakUnits":{tokens}.0"#);
     });
     answer_all_requests(endpoint, usage);
+    (discovery, gateway)
+}
+
+/// Sends up to ten requests that cost one token each, with a bucket of ten tokens and almost no refill. Each
+/// answer carries the given usage report. Returns the number of requests that are answered before the first
+/// rejection.
+fn answered_requests_with_usage(usage: &'static str) -> usize {
+    let (_discovery, gateway) = start_with_bucket(10, usage);
     let mut client = gateway.connect();
     let replies = (0..10).map(|_| {
         client.send(read_request(5000));
@@ -85,14 +92,7 @@
 /// Guards against a tenant with two quotas, one for each form in which clients write its number.
 #[test]
 fn quota_is_shared_by_all_forms_of_a_tenant_number() {
-    let SingleEndpoint {
-        endpoint,
-        discovery: _discovery,
-        gateway,
-    } = SingleEndpoint::configured(|config| {
-        config.plan = r#""UnitsPerS":0.001,"PeakUnits":1.0"#.into();
-    });
-    answer_all_requests(endpoint, "cost=1");
+    let (_discovery, gateway) = start_with_bucket(1, "cost=1");
     let mut client = gateway.connect();
     client.send(read_request_of(TENANT, 5000));
     client.expect_reply("x");
